--- /dev/null
+++ b/internal/cli/commands/version.go
@@ -0,0 +1,17 @@
+package commands
+
+import (
+	"fmt"
+	"runtime"
+)
+
+// version is set by the linker for releases.
+var version = "development"
+
+type versionCommand struct{}
+
+// Run prints the version of the program and of Go.
+func (c *versionCommand) Run(env *environment) error {
+	_, err := fmt.Fprintf(env.stdout, "agateramp %s %s %s/%s\n", version, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+	return err
+}
--- /dev/null
+++ b/internal/core/owner/effect.go
@@ -0,0 +1,82 @@
+// Package owner decides for an agent: which packets its backend server gets,
+// which flows it takes, queues, passes on or refuses, and what it reports to
+// the directory of its peers.
+package owner
+
+import (
+	"net/netip"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+)
+
+// Effect is what the owner asks an adapter to do.
+type Effect interface{ isEffect() }
+
+type (
+	// Deliver hands a packet to the backend server.
+	Deliver struct {
+		Key  flow.Key
+		Data []byte
+		// LocalPort is the port recovered for the flow, or 0.
+		LocalPort uint16
+		// Return is the balancer to which answers go.
+		Return netip.AddrPort
+	}
+	// Pass sends a packet to another agent.
+	Pass struct {
+		To     netip.AddrPort
+		Header flow.Header
+		Data   []byte
+	}
+	// Refuse has the balancer tell the caller that the work was not run.
+	Refuse struct {
+		Key    flow.Key
+		Reason flow.Reason
+		Return netip.AddrPort
+		Data   []byte
+	}
+	// Reset has the balancer tell the caller that the flow is gone. It says
+	// nothing about work done.
+	Reset struct {
+		Key    flow.Key
+		Reason flow.Reason
+		Return netip.AddrPort
+		Data   []byte
+	}
+	// Hint tells a balancer that this agent owns the flow.
+	Hint struct {
+		To  netip.AddrPort
+		Key flow.Key
+	}
+	// Drop discards a packet.
+	Drop struct{ Reason flow.Reason }
+	// Report sends directory entries to the agent at To.
+	Report struct {
+		To     netip.AddrPort
+		Report *controlpb.FlowReport
+	}
+	// Acknowledge confirms a table version to the balancers.
+	Acknowledge struct {
+		Version     uint64
+		Transferred bool
+	}
+	// CloseFlow releases the local socket of a flow that ended.
+	CloseFlow struct{ Key flow.Key }
+	// BindFlow reopens the local socket of a recovered flow.
+	BindFlow struct {
+		Key       flow.Key
+		LocalPort uint16
+	}
+)
+
+func (*Deliver) isEffect()     {}
+func (*Pass) isEffect()        {}
+func (*Refuse) isEffect()      {}
+func (*Reset) isEffect()       {}
+func (*Hint) isEffect()        {}
+func (*Drop) isEffect()        {}
+func (*Report) isEffect()      {}
+func (*Acknowledge) isEffect() {}
+func (*CloseFlow) isEffect()   {}
+func (*BindFlow) isEffect()    {}
--- /dev/null
+++ b/internal/core/owner/event.go
@@ -0,0 +1,51 @@
+package owner
+
+import (
+	"net/netip"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+)
+
+// Event is what an adapter tells the owner.
+type Event interface{ isEvent() }
+
+type (
+	// SpecReceived brings a table spec of the service that the agent serves.
+	SpecReceived struct{ Spec *controlpb.TableSpec }
+	// PeerConnected says that a stream to the agent at Peer is new.
+	PeerConnected struct{ Peer netip.AddrPort }
+	// PeerDisconnected says that the stream to the agent at Peer broke.
+	PeerDisconnected struct{ Peer netip.AddrPort }
+	// ReportReceived brings directory entries from the agent at Peer.
+	ReportReceived struct {
+		Peer   netip.AddrPort
+		Report *controlpb.FlowReport
+	}
+	// ReportAcked says that Peer has applied every report up to Sequence.
+	ReportAcked struct {
+		Peer     netip.AddrPort
+		Sequence uint64
+	}
+	// AnswerSeen says that the backend server answered on a flow.
+	AnswerSeen struct{ Key flow.Key }
+	// PortBound gives the local port that the datagram adapter opened for a flow.
+	PortBound struct {
+		Key  flow.Key
+		Port uint16
+	}
+	// DrainChanged starts or ends draining.
+	DrainChanged struct{ Drain bool }
+	// Tick lets deadlines pass; it comes at least every 50 ms.
+	Tick struct{}
+)
+
+func (SpecReceived) isEvent()     {}
+func (PeerConnected) isEvent()    {}
+func (PeerDisconnected) isEvent() {}
+func (ReportReceived) isEvent()   {}
+func (ReportAcked) isEvent()      {}
+func (AnswerSeen) isEvent()       {}
+func (PortBound) isEvent()        {}
+func (DrainChanged) isEvent()     {}
+func (Tick) isEvent()             {}
