platform: Add memory store, etcd client and store stand-in

Cause: every process needs the store port; nothing implemented it. Change: memory store (revisions, compare-and-swap, leases by real or injected time, watches with compaction); client of the published etcd v3 API over connect-go in gRPC mode; stand-in that serves the memory store over that API with faults (down, delay, lost answers, lapsed leases, cut clients) and call counts, switched over HTTP; store.ErrRejected for requests that a retry cannot help. Conclusion: roles can be written against the store over memory or a socket.

--- /dev/null
+++ b/internal/platform/etcd/client.go
@@ -0,0 +1,177 @@
+// Package etcd is a store client for the published etcd v3 gRPC API.
+package etcd
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"agateramp/internal/platform/etcdpb"
+	"agateramp/internal/platform/store"
+)
+
+const (
+	defaultPingInterval = 10 * time.Second
+	// pingTimeout is how long a connection may leave a ping unanswered.
+	pingTimeout = 5 * time.Second
+	dialTimeout = 3 * time.Second
+)
+
+// Config configures a Client.
+type Config struct {
+	// Endpoints are the host:port addresses of the service. At least one must be set.
+	Endpoints []string
+	// TLS is used for every connection. Empty means HTTP/2 without TLS.
+	TLS *tls.Config
+	// Name is sent as the user agent, so that the service can tell its clients
+	// apart. Empty means "agateramp".
+	Name string
+	// PingInterval is how long a connection may be silent before it is pinged. It
+	// bounds how long a watch waits on a dead connection. Empty means 10 s.
+	PingInterval time.Duration
+}
+
+type endpoint struct {
+	kv    etcdpb.KVClient
+	lease etcdpb.LeaseClient
+	watch etcdpb.WatchClient
+}
+
+// Client talks to one endpoint at a time and moves to the next when a call
+// finds the service unavailable. Its methods are safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+	endpoints []endpoint
+	current   atomic.Uint64
+	agent     string
+}
+
+var _ store.Store = (*Client)(nil)
+
+// New returns a client. It connects at the first call.
+func New(cfg Config) (c *Client, err error) {
+	defer func() { err = errors.WithMessage(err, "etcd client") }()
+	if len(cfg.Endpoints) == 0 {
+		return nil, errors.New("no endpoints")
+	}
+	if cfg.Name == "" {
+		cfg.Name = "agateramp"
+	}
+	if cfg.PingInterval == 0 {
+		cfg.PingInterval = defaultPingInterval
+	}
+	protocols, scheme := new(http.Protocols), "https"
+	protocols.SetHTTP2(true)
+	if cfg.TLS == nil {
+		protocols, scheme = new(http.Protocols), "http"
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	c = &Client{agent: cfg.Name, transport: &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig: cfg.TLS,
+		Protocols:       protocols,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: cfg.PingInterval, PingTimeout: pingTimeout},
+	}}
+	client := &http.Client{Transport: c.transport}
+	for _, address := range cfg.Endpoints {
+		if _, _, err = net.SplitHostPort(address); err != nil {
+			return nil, errors.WithMessagef(err, "endpoint %q", address)
+		}
+		base := scheme + "://" + address
+		c.endpoints = append(c.endpoints, endpoint{
+			kv:    etcdpb.NewKVClient(client, base, connect.WithGRPC()),
+			lease: etcdpb.NewLeaseClient(client, base, connect.WithGRPC()),
+			watch: etcdpb.NewWatchClient(client, base, connect.WithGRPC()),
+		})
+	}
+	return c, nil
+}
+
+// Close closes idle connections. Watches are closed by their own Close.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Get returns the entry of a key, or nil when there is none.
+func (c *Client) Get(ctx context.Context, key string) (entry *store.Entry, revision int64, err error) {
+	defer func() { err = errors.WithMessagef(err, "get %q", key) }()
+	kvs, revision, err := c.read(ctx, &etcdpb.RangeRequest{Key: []byte(key)})
+	if err != nil || len(kvs) == 0 {
+		return nil, revision, err
+	}
+	e := entryOf(kvs[0])
+	return &e, revision, nil
+}
+
+// List returns the entries whose keys begin with prefix, ordered by key.
+func (c *Client) List(ctx context.Context, prefix string) (entries []store.Entry, revision int64, err error) {
+	defer func() { err = errors.WithMessagef(err, "list %q", prefix) }()
+	key, end := prefixRange(prefix)
+	kvs, revision, err := c.read(ctx, &etcdpb.RangeRequest{Key: key, RangeEnd: end})
+	for _, kv := range kvs {
+		entries = append(entries, entryOf(kv))
+	}
+	return entries, revision, err
+}
+
+// read asks each endpoint once, because a read is safe to repeat.
+func (c *Client) read(ctx context.Context, request *etcdpb.RangeRequest) (
+	kvs []*etcdpb.KeyValue, revision int64, err error,
+) {
+	for range c.endpoints {
+		err = c.call(ctx, func(e *endpoint) error {
+			response, err := e.kv.Range(ctx, named(c, request))
+			if err != nil {
+				return err
+			}
+			kvs, revision = response.Msg.GetKvs(), response.Msg.GetHeader().GetRevision()
+			return nil
+		})
+		if !errors.Is(err, store.ErrUnavailable) {
+			break
+		}
+	}
+	return kvs, revision, err
+}
+
+// Txn applies all writes if all compares hold, and none otherwise. It is sent
+// once, because after an error it may have taken effect.
+func (c *Client) Txn(ctx context.Context, compares []store.Compare, writes []store.Write) (
+	result store.TxnResult, err error,
+) {
+	defer func() { err = errors.WithMessage(err, "transaction") }()
+	if err = store.CheckWrites(writes); err != nil {
+		return result, err
+	}
+	request := txnRequest(compares, writes)
+	err = c.call(ctx, func(e *endpoint) error {
+		response, err := e.kv.Txn(ctx, named(c, request))
+		if err != nil {
+			return err
+		}
+		result.Succeeded = response.Msg.GetSucceeded()
+		result.Revision = response.Msg.GetHeader().GetRevision()
+		return nil
+	})
+	return result, err
+}
+
+// call runs one call on the current endpoint.
+func (c *Client) call(ctx context.Context, run func(e *endpoint) error) (err error) {
+	position := c.current.Load()
+	err = mapError(ctx, run(&c.endpoints[position%uint64(len(c.endpoints))]))
+	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, context.DeadlineExceeded) {
+		c.current.CompareAndSwap(position, position+1)
+	}
+	return err
+}
+
+func named[T any](c *Client, message *T) *connect.Request[T] {
+	request := connect.NewRequest(message)
+	request.Header().Set("User-Agent", c.agent)
+	return request
+}
--- /dev/null
+++ b/internal/platform/etcd/lease.go
@@ -0,0 +1,65 @@
+package etcd
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/platform/etcdpb"
+	"agateramp/internal/platform/store"
+)
+
+// Grant returns a new lease.
+func (c *Client) Grant(ctx context.Context, ttlSeconds int64) (id store.LeaseID, err error) {
+	defer func() { err = errors.WithMessage(err, "lease grant") }()
+	if ttlSeconds <= 0 {
+		return 0, errors.WithMessagef(store.ErrRejected, "lease of %d s", ttlSeconds)
+	}
+	err = c.call(ctx, func(e *endpoint) error {
+		response, err := e.lease.LeaseGrant(ctx, named(c, &etcdpb.LeaseGrantRequest{TTL: ttlSeconds}))
+		if err != nil {
+			return err
+		}
+		id = store.LeaseID(response.Msg.GetID())
+		return nil
+	})
+	return id, err
+}
+
+// KeepAlive renews a lease once.
+func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) (err error) {
+	defer func() { err = errors.WithMessagef(err, "lease %x keep-alive", int64(id)) }()
+	var ttl int64
+	err = c.call(ctx, func(e *endpoint) error {
+		stream := e.lease.LeaseKeepAlive(ctx)
+		stream.RequestHeader().Set("User-Agent", c.agent)
+		err := stream.Send(&etcdpb.LeaseKeepAliveRequest{ID: int64(id)})
+		// After io.EOF, the reason is on the response side.
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		if err = stream.CloseRequest(); err != nil {
+			return err
+		}
+		response, err := stream.Receive()
+		if err != nil {
+			return err
+		}
+		ttl = response.GetTTL()
+		return nil
+	})
+	if err == nil && ttl <= 0 {
+		return store.ErrLeaseNotFound
+	}
+	return err
+}
+
+// Revoke ends a lease and deletes its keys.
+func (c *Client) Revoke(ctx context.Context, id store.LeaseID) (err error) {
+	defer func() { err = errors.WithMessagef(err, "lease %x revoke", int64(id)) }()
+	return c.call(ctx, func(e *endpoint) error {
+		_, err := e.lease.LeaseRevoke(ctx, named(c, &etcdpb.LeaseRevokeRequest{ID: int64(id)}))
+		return err
+	})
+}
--- /dev/null
+++ b/internal/platform/memory/memory.go
@@ -0,0 +1,221 @@
+// Package memory is an in-memory store with the semantics of the platform's service.
+package memory
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/platform/store"
+)
+
+// defaultHistory holds some minutes of events at several hundred writes a second.
+const defaultHistory = 100_000
+
+// Config configures a Store.
+type Config struct {
+	// Now returns the time by which leases expire. Empty means real time, where
+	// leases also expire while no call is made. With another clock, a lease
+	// expires at the next call after its deadline, or at Tick.
+	Now func() time.Time
+	// MaxHistory is how many events are kept for watches that start in the past.
+	// Empty means 100,000.
+	MaxHistory int
+}
+
+// Store keeps its entries in memory. Its methods are safe for concurrent use.
+type Store struct {
+	now        func() time.Time
+	realTime   bool
+	maxHistory int
+
+	mu        sync.Mutex
+	revision  int64
+	compacted int64
+	entries   map[string]*store.Entry
+	keys      []string
+	history   []store.Event
+	leases    map[store.LeaseID]*lease
+	lastLease store.LeaseID
+	timer     *time.Timer
+	timerAt   time.Time
+	watchers  map[*watcher]struct{}
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New returns an empty store at revision 1.
+func New(cfg Config) (s *Store, err error) {
+	if cfg.MaxHistory < 0 {
+		return nil, errors.Errorf("memory store: MaxHistory is %d, want 0 or more", cfg.MaxHistory)
+	}
+	s = &Store{
+		now: cfg.Now, maxHistory: cfg.MaxHistory, revision: 1,
+		entries: map[string]*store.Entry{}, leases: map[store.LeaseID]*lease{}, watchers: map[*watcher]struct{}{},
+	}
+	if s.now == nil {
+		s.now, s.realTime = time.Now, true
+	}
+	if s.maxHistory == 0 {
+		s.maxHistory = defaultHistory
+	}
+	return s, nil
+}
+
+// Get returns the entry of a key, or nil when there is none.
+func (s *Store) Get(ctx context.Context, key string) (entry *store.Entry, revision int64, err error) {
+	if err = ctx.Err(); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if e := s.entries[key]; e != nil {
+		c := clone(e)
+		entry = &c
+	}
+	return entry, s.revision, nil
+}
+
+// List returns the entries whose keys begin with prefix, ordered by key.
+func (s *Store) List(ctx context.Context, prefix string) (entries []store.Entry, revision int64, err error) {
+	if err = ctx.Err(); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	start, _ := slices.BinarySearch(s.keys, prefix)
+	for _, key := range s.keys[start:] {
+		if !strings.HasPrefix(key, prefix) {
+			break
+		}
+		entries = append(entries, clone(s.entries[key]))
+	}
+	return entries, s.revision, nil
+}
+
+// Txn applies all writes if all compares hold, and none otherwise.
+func (s *Store) Txn(ctx context.Context, compares []store.Compare, writes []store.Write) (
+	result store.TxnResult, err error,
+) {
+	if err = ctx.Err(); err != nil {
+		return result, err
+	}
+	if err = store.CheckWrites(writes); err != nil {
+		return result, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, c := range compares {
+		if s.revisionOf(c) != c.Revision {
+			return store.TxnResult{Revision: s.revision}, nil
+		}
+	}
+	for _, w := range writes {
+		if !w.Delete && w.Lease != 0 && s.leases[w.Lease] == nil {
+			return result, errors.WithMessagef(store.ErrLeaseNotFound, "lease %x", int64(w.Lease))
+		}
+	}
+	s.commit(writes)
+	return store.TxnResult{Succeeded: true, Revision: s.revision}, nil
+}
+
+// Compact drops the events before revision.
+func (s *Store) Compact(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compact(min(revision, s.revision))
+}
+
+func (s *Store) revisionOf(c store.Compare) int64 {
+	e := s.entries[c.Key]
+	switch {
+	case e == nil:
+		return 0
+	case c.Create:
+		return e.CreateRevision
+	}
+	return e.ModRevision
+}
+
+// commit applies writes as one revision. Writes without effect make none.
+func (s *Store) commit(writes []store.Write) {
+	next := s.revision + 1
+	var events []store.Event
+	for _, w := range writes {
+		old := s.entries[w.Key]
+		if old == nil && w.Delete {
+			continue
+		}
+		if old != nil && old.Lease != 0 && s.leases[old.Lease] != nil {
+			delete(s.leases[old.Lease].keys, w.Key)
+		}
+		if w.Delete {
+			delete(s.entries, w.Key)
+			i, _ := slices.BinarySearch(s.keys, w.Key)
+			s.keys = slices.Delete(s.keys, i, i+1)
+			events = append(events, store.Event{Entry: store.Entry{Key: w.Key, ModRevision: next}, Deleted: true})
+			continue
+		}
+		e := &store.Entry{
+			Key: w.Key, Value: slices.Clone(w.Value), CreateRevision: next, ModRevision: next, Lease: w.Lease,
+		}
+		if old != nil {
+			e.CreateRevision = old.CreateRevision
+		} else {
+			i, _ := slices.BinarySearch(s.keys, w.Key)
+			s.keys = slices.Insert(s.keys, i, w.Key)
+		}
+		s.entries[w.Key] = e
+		if w.Lease != 0 {
+			s.leases[w.Lease].keys[w.Key] = struct{}{}
+		}
+		events = append(events, store.Event{Entry: *e})
+	}
+	if len(events) == 0 {
+		return
+	}
+	s.revision = next
+	s.history = append(s.history, events...)
+	if over := len(s.history) - s.maxHistory; over > 0 {
+		s.compact(s.history[over].Entry.ModRevision)
+	}
+	for w := range s.watchers {
+		if slices.ContainsFunc(events, w.follows) {
+			w.notify()
+		} else if w.position == next {
+			// Nothing is pending, so a later compaction takes nothing from this watch.
+			w.position = next + 1
+		}
+	}
+}
+
+func (s *Store) compact(revision int64) {
+	if revision <= s.compacted {
+		return
+	}
+	s.compacted = revision
+	i, _ := slices.BinarySearchFunc(s.history, revision, byRevision)
+	s.history = slices.Clone(s.history[i:])
+	for w := range s.watchers {
+		w.notify()
+	}
+}
+
+func byRevision(e store.Event, revision int64) int { return cmp.Compare(e.Entry.ModRevision, revision) }
+
+func clone(e *store.Entry) store.Entry {
+	c := *e
+	c.Value = slices.Clone(e.Value)
+	return c
+}
+
+func sortedKeys(m map[string]struct{}) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -19,6 +19,9 @@
 	ErrLeaseNotFound = errors.New("store lease not found")
 	// ErrTooLarge says that a value is larger than MaxValueBytes.
 	ErrTooLarge = errors.New("store value too large")
+	// ErrRejected says that the service did not accept the request as it stands; nothing was written
+	// and a retry cannot succeed.
+	ErrRejected = errors.New("store request rejected")
 )
 
 // LeaseID names a lease; 0 means none.
@@ -83,7 +86,8 @@
 	Get(ctx context.Context, key string) (entry *Entry, revision int64, err error)
 	// List returns the entries whose keys begin with prefix, ordered by key.
 	List(ctx context.Context, prefix string) (entries []Entry, revision int64, err error)
-	// Txn applies all writes if all compares hold, and none otherwise.
+	// Txn applies all writes if all compares hold, and none otherwise. A key may
+	// be written only once in a transaction.
 	Txn(ctx context.Context, compares []Compare, writes []Write) (result TxnResult, err error)
 	// Grant returns a new lease that expires ttlSeconds after its last renewal.
 	Grant(ctx context.Context, ttlSeconds int64) (id LeaseID, err error)
@@ -91,6 +95,25 @@
 	KeepAlive(ctx context.Context, id LeaseID) (err error)
 	// Revoke ends a lease and deletes its keys.
 	Revoke(ctx context.Context, id LeaseID) (err error)
-	// Watch follows the keys that begin with prefix, from revision on.
+	// Watch follows the keys that begin with prefix, from revision on. Revision 0
+	// means from the next change on.
 	Watch(ctx context.Context, prefix string, revision int64) (w Watcher, err error)
 }
+
+// CheckWrites returns the error for writes that no service takes: values over
+// MaxValueBytes, empty keys, and keys written twice in one transaction.
+func CheckWrites(writes []Write) (err error) {
+	seen := make(map[string]bool, len(writes))
+	for _, w := range writes {
+		switch {
+		case len(w.Value) > MaxValueBytes:
+			return errors.WithMessagef(ErrTooLarge, "key %q: %d bytes", w.Key, len(w.Value))
+		case w.Key == "":
+			return errors.WithMessage(ErrRejected, "empty key")
+		case seen[w.Key]:
+			return errors.WithMessagef(ErrRejected, "key %q is written twice in one transaction", w.Key)
+		}
+		seen[w.Key] = true
+	}
+	return nil
+}
