operator: Add configuration, versions and audit trail

Cause: roles need a configuration that is checked, versioned and never reverts. Change: folder merge with origins, schema and checks, versions by compare-and-swap with change ids, history, rollback, watch; audit trail with a hash chain that is appended in the transaction of the change.

--- /dev/null
+++ b/internal/operator/audit/append.go
@@ -0,0 +1,118 @@
+package audit
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/platform/backoff"
+	"agateramp/internal/platform/store"
+)
+
+// Append adds a record on its own, for events that are no change in the store.
+// The change id must be set: a record whose answer was lost is recognised by it
+// and not appended twice. It retries until ctx ends.
+func Append(ctx context.Context, s store.Store, r Record, wait backoff.Policy) (err error) {
+	if r.ChangeID == "" {
+		return errors.New("audit trail: record without a change id")
+	}
+	first, known := uint64(0), false
+	for attempt := 0; ; attempt++ {
+		done, err := appendOnce(ctx, s, r, &first, &known)
+		if done || err != nil && !errors.Is(err, store.ErrUnavailable) {
+			return err
+		}
+		if stop := wait.Sleep(ctx, attempt); stop != nil {
+			return errors.WithMessage(stop, "audit trail")
+		}
+	}
+}
+
+// appendOnce makes one attempt. The sequence at the first attempt bounds the
+// search for a record that an earlier attempt may have written.
+func appendOnce(ctx context.Context, s store.Store, r Record, first *uint64, known *bool) (done bool, err error) {
+	h, _, err := readHead(ctx, s)
+	if err != nil {
+		return false, err
+	}
+	if !*known {
+		*first, *known = h.Sequence, true
+	}
+	for n := h.Segment; n > 0 && h.Sequence > *first; n-- {
+		g, _, err := readSegment(ctx, s, n)
+		if err != nil {
+			return false, err
+		}
+		for i := range g.Records {
+			if g.Records[i].ChangeID == r.ChangeID && g.Records[i].Kind == r.Kind {
+				return true, nil
+			}
+		}
+		if g.Records[0].Sequence <= *first+1 {
+			break
+		}
+	}
+	compares, writes, err := Prepare(ctx, s, r)
+	if err != nil {
+		return false, err
+	}
+	result, err := s.Txn(ctx, compares, writes)
+	return err == nil && result.Succeeded, err
+}
+
+// Query selects records.
+type Query struct {
+	// Last is how many records to return from the end. Empty means all.
+	Last int
+	// Since leaves out older records. Empty means none are left out.
+	Since time.Time
+}
+
+// Read returns records from the oldest to the newest and verifies the hash
+// chain of everything it read. Without Last it verifies the whole trail. What it
+// cannot see is a rewrite of all records, which any writer of the store could do.
+func Read(ctx context.Context, s store.Store, q Query) (records []Record, err error) {
+	defer func() { err = errors.WithMessage(err, "audit trail") }()
+	h, _, err := readHead(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	expected := h.Hash
+	sequence := h.Sequence
+	for n := h.Segment; n > 0 && (q.Last == 0 || len(records) < q.Last); n-- {
+		g, _, err := readSegment(ctx, s, n)
+		if err != nil {
+			return nil, err
+		}
+		// Records after the head were appended since the head was read.
+		for i := len(g.Records) - 1; i >= 0; i-- {
+			r := g.Records[i]
+			if r.Sequence > h.Sequence && n == h.Segment {
+				continue
+			}
+			hash, err := r.hash()
+			if err != nil {
+				return nil, err
+			}
+			if r.Sequence != sequence || r.Hash != expected || hash != r.Hash {
+				return nil, errors.WithMessagef(ErrBroken, "segment %d: record %d does not fit the chain", n, r.Sequence)
+			}
+			expected, sequence = r.Previous, sequence-1
+			records = append(records, r)
+		}
+	}
+	if (q.Last == 0 || len(records) < q.Last) && (sequence != 0 || expected != "") {
+		return nil, errors.WithMessagef(ErrBroken, "record %d is missing", sequence)
+	}
+	if q.Last > 0 && len(records) > q.Last {
+		records = records[:q.Last]
+	}
+	kept := make([]Record, 0, len(records))
+	for i := len(records) - 1; i >= 0; i-- {
+		if !records[i].Time.Before(q.Since) {
+			kept = append(kept, records[i])
+		}
+	}
+	return kept, nil
+}
--- /dev/null
+++ b/internal/operator/config/document.go
@@ -0,0 +1,153 @@
+// Package config merges, checks and versions the configuration of the fleet.
+package config
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Document is a complete configuration, with defaults filled in.
+type Document struct {
+	Services    map[string]Service `json:"services"`
+	LoadSharing LoadSharing        `json:"load_sharing"`
+	Hosts       map[string]Host    `json:"hosts"`
+}
+
+// Service is the definition of a service. Empty fields are described in docs/configuration.md.
+type Service struct {
+	Addresses       []Address `json:"addresses"`
+	Idempotent      bool      `json:"idempotent"`
+	FirstPacket     string    `json:"first_packet"`
+	PrefixHex       string    `json:"prefix_hex"`
+	RefusalHex      string    `json:"refusal_hex"`
+	QueueDeadlineMS uint32    `json:"queue_deadline_ms"`
+	IdleTimeoutMS   uint32    `json:"idle_timeout_ms"`
+	DrainTimeMS     uint32    `json:"drain_time_ms"`
+}
+
+// Address is one address that callers use.
+type Address struct {
+	Address  string `json:"address"`
+	Protocol string `json:"protocol"`
+}
+
+// LoadSharing holds the rules by which work is shared.
+type LoadSharing struct {
+	Default  Sharing            `json:"default"`
+	Services map[string]Sharing `json:"services"`
+}
+
+// Sharing is the load-sharing rules of a service.
+type Sharing struct {
+	LearnWeights        bool   `json:"learn_weights"`
+	WeightIntervalMS    uint32 `json:"weight_interval_ms"`
+	StepPercent         uint32 `json:"step_percent"`
+	DeadBandPercent     uint32 `json:"dead_band_percent"`
+	MaxWeightFactor     uint32 `json:"max_weight_factor"`
+	OutlierStepPercent  uint32 `json:"outlier_step_percent"`
+	OutlierSharePercent uint32 `json:"outlier_share_percent"`
+	SlowStartMS         uint32 `json:"slow_start_ms"`
+	SlowStartPercent    uint32 `json:"slow_start_percent"`
+	RetryBudgetPercent  uint32 `json:"retry_budget_percent"`
+}
+
+// Host is the override of a host. Nil fields keep the announced value.
+type Host struct {
+	Service     string  `json:"service"`
+	Weight      *uint32 `json:"weight,omitempty"`
+	Slots       *uint32 `json:"slots,omitempty"`
+	Connections *uint32 `json:"connections,omitempty"`
+	Drain       bool    `json:"drain"`
+}
+
+func defaultService() Service {
+	return Service{FirstPacket: firstPacketSyn, IdleTimeoutMS: 300_000, DrainTimeMS: 30_000}
+}
+
+func defaultSharing() Sharing {
+	return Sharing{
+		LearnWeights: true, WeightIntervalMS: 5_000, StepPercent: 25, DeadBandPercent: 5, MaxWeightFactor: 8,
+		OutlierStepPercent: 50, OutlierSharePercent: 33, SlowStartMS: 30_000, SlowStartPercent: 10,
+		RetryBudgetPercent: 10,
+	}
+}
+
+// decodeDocument reads a merged document that the schema accepts.
+func decodeDocument(raw []byte) (d *Document, err error) {
+	defer func() { err = errors.WithMessage(err, "decode configuration") }()
+	var parts struct {
+		Services    map[string]json.RawMessage `json:"services"`
+		LoadSharing struct {
+			Default  json.RawMessage            `json:"default"`
+			Services map[string]json.RawMessage `json:"services"`
+		} `json:"load_sharing"`
+		Hosts map[string]Host `json:"hosts"`
+	}
+	if err = json.Unmarshal(raw, &parts); err != nil {
+		return nil, err
+	}
+	d = &Document{Services: map[string]Service{}, Hosts: parts.Hosts}
+	d.LoadSharing.Default = defaultSharing()
+	d.LoadSharing.Services = map[string]Sharing{}
+	if d.Hosts == nil {
+		d.Hosts = map[string]Host{}
+	}
+	for name, part := range parts.Services {
+		s := defaultService()
+		if err = json.Unmarshal(part, &s); err != nil {
+			return nil, err
+		}
+		d.Services[name] = s
+	}
+	if len(parts.LoadSharing.Default) > 0 {
+		if err = json.Unmarshal(parts.LoadSharing.Default, &d.LoadSharing.Default); err != nil {
+			return nil, err
+		}
+	}
+	for name, part := range parts.LoadSharing.Services {
+		rules := d.LoadSharing.Default
+		if err = json.Unmarshal(part, &rules); err != nil {
+			return nil, err
+		}
+		d.LoadSharing.Services[name] = rules
+	}
+	return d, nil
+}
+
+// ServiceNames returns the names of the services in order.
+func (d *Document) ServiceNames() []string { return slices.Sorted(maps.Keys(d.Services)) }
+
+// Sharing returns the load-sharing rules of a service.
+func (d *Document) Sharing(service string) Sharing {
+	if rules, ok := d.LoadSharing.Services[service]; ok {
+		return rules
+	}
+	return d.LoadSharing.Default
+}
+
+// HostsOf returns the overrides of the hosts of a service.
+func (d *Document) HostsOf(service string) map[string]Host {
+	hosts := map[string]Host{}
+	for name, h := range d.Hosts {
+		if h.Service == service {
+			hosts[name] = h
+		}
+	}
+	return hosts
+}
+
+// sameService reports whether everything that applies to a service is equal in
+// two documents. The shard holder publishes a new spec when it is not.
+func sameService(a, b *Document, name string) bool {
+	x, err := json.Marshal([]any{a.Services[name], a.Sharing(name), a.HostsOf(name)})
+	if err != nil {
+		return false
+	}
+	y, err := json.Marshal([]any{b.Services[name], b.Sharing(name), b.HostsOf(name)})
+	_, inA := a.Services[name]
+	_, inB := b.Services[name]
+	return err == nil && inA == inB && string(x) == string(y)
+}
--- /dev/null
+++ b/internal/operator/config/manifest.go
@@ -0,0 +1,157 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/platform/store"
+)
+
+// Keys of the configuration in the store.
+const (
+	prefix     = "/agateramp/config/"
+	CurrentKey = prefix + "current"
+)
+
+const (
+	// chunkBytes leaves room for the manifest and the audit trail in the request
+	// of 1.5 MiB that the store takes.
+	chunkBytes = 512 << 10
+	// maxBodyBytes bounds what a reader unpacks.
+	maxBodyBytes = 64 << 20
+)
+
+// ErrCorrupt says that what the store holds does not fit its manifest.
+var ErrCorrupt = errors.New("configuration in the store is corrupt")
+
+// Manifest describes one version of the configuration. It is a message: the
+// store holds it as JSON.
+type Manifest struct {
+	Version  uint64 `json:"version"`
+	ChangeID string `json:"change_id"`
+	// Base is the version that the change was made to.
+	Base uint64 `json:"base"`
+	// RollbackTo is the version whose content was restored, or 0.
+	RollbackTo uint64    `json:"rollback_to,omitempty"`
+	Who        string    `json:"who"`
+	From       string    `json:"from"`
+	Time       time.Time `json:"time"`
+	Reason     string    `json:"reason,omitempty"`
+	// NextServiceID is the id of the next new service; ids are never used again.
+	NextServiceID uint32            `json:"next_service_id"`
+	Digest        string            `json:"digest"`
+	Chunks        []string          `json:"chunks"`
+	Services      []ManifestService `json:"services"`
+}
+
+// ManifestService names a service and the version in which its definition,
+// load-sharing rules or host overrides last changed.
+type ManifestService struct {
+	ID      uint32 `json:"id"`
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+}
+
+// body is the content of a version, stored compressed and in chunks.
+type body struct {
+	Document json.RawMessage   `json:"document"`
+	Origins  map[string]string `json:"origins"`
+}
+
+// change is what the key of a change id holds.
+type change struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+}
+
+func versionKey(version uint64) string { return fmt.Sprintf("%sversion/%010d", prefix, version) }
+
+func changeKey(id string) string { return prefix + "change/" + id }
+
+// chunkKey holds the change id and the digest, so that a delayed write of
+// another attempt cannot replace a chunk of a version in use.
+func chunkKey(version uint64, changeID, digest string, part int) string {
+	return fmt.Sprintf("%schunk/%010d/%s/%.16s-%d", prefix, version, changeID, digest, part)
+}
+
+// DecodeManifest reads a manifest from the store.
+func DecodeManifest(value []byte) (m *Manifest, err error) {
+	m = &Manifest{}
+	if err = json.Unmarshal(value, m); err != nil {
+		return nil, errors.WithMessagef(ErrCorrupt, "manifest: %v", err)
+	}
+	if m.Version == 0 || m.ChangeID == "" {
+		return nil, errors.WithMessage(ErrCorrupt, "manifest without version or change id")
+	}
+	return m, nil
+}
+
+// pack compresses a source and returns its digest, which is that of the
+// content and not of the compressed form.
+func pack(s *Source) (packed []byte, digest string, err error) {
+	plain, err := json.Marshal(body{Document: s.raw, Origins: s.origins})
+	if err != nil {
+		return nil, "", err
+	}
+	if len(plain) > maxBodyBytes {
+		return nil, "", errors.Errorf("configuration has %d bytes, at most %d are allowed", len(plain), maxBodyBytes)
+	}
+	sum := sha256.Sum256(plain)
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err = w.Write(plain); err != nil {
+		return nil, "", err
+	}
+	if err = w.Close(); err != nil {
+		return nil, "", err
+	}
+	return b.Bytes(), hex.EncodeToString(sum[:]), nil
+}
+
+// unpack reads what pack wrote.
+func unpack(packed []byte, digest string) (s *Source, err error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.WithMessagef(ErrCorrupt, "chunks: %v", err)
+	}
+	plain, err := io.ReadAll(io.LimitReader(r, maxBodyBytes+1))
+	if err != nil || len(plain) > maxBodyBytes {
+		return nil, errors.WithMessagef(ErrCorrupt, "chunks: %d bytes: %v", len(plain), err)
+	}
+	if sum := sha256.Sum256(plain); hex.EncodeToString(sum[:]) != digest {
+		return nil, errors.WithMessage(ErrCorrupt, "chunks do not match the digest of the manifest")
+	}
+	var b body
+	if err = json.Unmarshal(plain, &b); err != nil {
+		return nil, errors.WithMessagef(ErrCorrupt, "body: %v", err)
+	}
+	s = &Source{raw: b.Document, origins: b.Origins}
+	if s.document, err = decodeDocument(s.raw); err != nil {
+		return nil, errors.WithMessagef(ErrCorrupt, "%v", err)
+	}
+	return s, nil
+}
+
+func readBody(ctx context.Context, s store.Store, m *Manifest) (source *Source, err error) {
+	var packed []byte
+	for _, key := range m.Chunks {
+		entry, _, err := s.Get(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		if entry == nil {
+			return nil, errors.WithMessagef(ErrCorrupt, "chunk %q is missing", key)
+		}
+		packed = append(packed, entry.Value...)
+	}
+	return unpack(packed, m.Digest)
+}
--- /dev/null
+++ b/internal/operator/config/model_test.go
@@ -0,0 +1,397 @@
+package config
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"agateramp/internal/operator/audit"
+	"agateramp/internal/platform/backoff"
+	"agateramp/internal/platform/memory"
+	"agateramp/internal/platform/store"
+	"agateramp/internal/process/group"
+	"agateramp/internal/standin/etcdserver"
+)
+
+// TestMain fixes the schedules: 1,000 from one seed, or 10,000 new ones in a long run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	set := func(name, value string) {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	set("rapid.nofailfile", "true")
+	if os.Getenv("AGATERAMP_LONG") != "" {
+		set("rapid.checks", "10000")
+	} else {
+		set("rapid.checks", "1000")
+		set("rapid.seed", "20261204")
+	}
+	os.Exit(m.Run())
+}
+
+// call is a store call of an operator that waits for its turn.
+type call struct {
+	write bool
+	run   func()
+	end   chan error
+}
+
+// stepped hands every call to the schedule, which decides its turn and outcome.
+type stepped struct {
+	*memory.Store
+	calls chan *call
+}
+
+func (s *stepped) turn(write bool, run func()) error {
+	c := &call{write: write, run: run, end: make(chan error)}
+	s.calls <- c
+	return <-c.end
+}
+
+func (s *stepped) Get(ctx context.Context, key string) (entry *store.Entry, revision int64, err error) {
+	if failed := s.turn(false, func() { entry, revision, err = s.Store.Get(ctx, key) }); failed != nil {
+		return nil, 0, failed
+	}
+	return entry, revision, err
+}
+
+func (s *stepped) Txn(_ context.Context, compares []store.Compare, writes []store.Write) (
+	result store.TxnResult, err error,
+) {
+	var made store.TxnResult
+	var made2 error
+	run := func() { made, made2 = s.Store.Txn(context.Background(), compares, writes) }
+	if failed := s.turn(true, run); failed != nil {
+		return result, failed
+	}
+	return made, made2
+}
+
+type outcome struct {
+	result Result
+	err    error
+}
+
+// operator makes one change at a time; a change whose outcome is unknown is
+// tried again by a new process with the same change id.
+type operator struct {
+	name   string
+	store  *stepped
+	change *Change
+	cancel context.CancelFunc
+	done   chan outcome
+	wait   *call
+}
+
+// schedule is one run of racing operators over a store with faults.
+type schedule struct {
+	t       *rapid.T
+	tasks   *group.Group
+	memory  *memory.Store
+	faults  *etcdserver.Faults
+	late    []func()
+	raws    map[string]string
+	made    map[string]uint64
+	refused map[string]bool
+	next    int
+}
+
+func (s *schedule) start(o *operator) {
+	ctx, cancel := context.WithCancel(s.tasks.Context())
+	o.cancel = cancel
+	change := *o.change
+	s.tasks.Go(o.name, func(context.Context) error {
+		result, err := Apply(ctx, o.store, change)
+		o.done <- outcome{result, err}
+		return nil
+	})
+	s.await(o)
+}
+
+// await waits until the operator calls the store or has finished.
+func (s *schedule) await(o *operator) {
+	o.wait = nil
+	select {
+	case o.wait = <-o.store.calls:
+		return
+	case out := <-o.done:
+		o.cancel()
+		s.finished(o, out)
+	}
+}
+
+func (s *schedule) finished(o *operator, out outcome) {
+	id := o.change.ID
+	var conflict *ConflictError
+	switch {
+	case out.err == nil && out.result.Unchanged:
+		s.refused[id] = true
+	case out.err == nil:
+		s.made[id] = out.result.Version
+	case errors.As(out.err, &conflict):
+		s.refused[id] = true
+	case errors.Is(out.err, ErrOutcomeUnknown):
+		s.start(o)
+		return
+	case errors.Is(out.err, store.ErrUnavailable):
+		if c, _ := findChange(context.Background(), s.memory, id); c != nil {
+			s.t.Fatalf("change %s was reported as not applied and made version %d", id, c.Version)
+		}
+		s.start(o)
+		return
+	default:
+		s.t.Fatalf("change %s: %v", id, out.err)
+	}
+	o.change = nil
+}
+
+// begin draws a change that is based on what the operator sees now.
+func (s *schedule) begin(o *operator) {
+	current, err := Load(context.Background(), s.memory)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.next++
+	base := current.Version()
+	c := &Change{
+		ID: fmt.Sprint("change-", s.next), Who: o.name, From: "test", Base: &base,
+		Backoff: backoff.Policy{First: 1, Max: 1},
+	}
+	if rapid.IntRange(0, 3).Draw(s.t, "rollback") == 0 && base > 1 {
+		c.RollbackTo = rapid.Uint64Range(1, base-1).Draw(s.t, "to")
+		target, err := LoadVersion(context.Background(), s.memory, c.RollbackTo)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.raws[c.ID] = string(target.source.raw)
+	} else {
+		patch := s.patch(current)
+		m := newMerger()
+		if err = errors.WithMessage(m.add("base", current.source.raw), "base"); err == nil {
+			err = m.add("change", []byte(patch))
+		}
+		if err == nil {
+			c.Source, err = m.source()
+		}
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.raws[c.ID] = string(c.Source.raw)
+	}
+	o.change = c
+	s.start(o)
+}
+
+func (s *schedule) patch(current *Snapshot) string {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(s.t, "service")
+	_, exists := current.source.document.Services[name]
+	if exists && rapid.IntRange(0, 2).Draw(s.t, "remove") == 0 {
+		return fmt.Sprintf(`{"services":{%q:null}}`, name)
+	}
+	return fmt.Sprintf(`{"services":{%q:{"drain_time_ms":%d,"addresses":[{"address":"10.0.0.%d:1","protocol":"tcp"}]}}}`,
+		name, s.next, name[0])
+}
+
+// step lets one call of an operator end as drawn.
+func (s *schedule) step(o *operator, faults bool) {
+	c, kind := o.wait, 0
+	if faults {
+		kind = rapid.IntRange(0, 9).Draw(s.t, "outcome")
+	}
+	switch {
+	case kind == 6:
+		c.end <- store.ErrUnavailable
+	case kind == 7 && c.write:
+		c.run()
+		c.end <- store.ErrUnavailable
+	case kind == 8 && c.write:
+		// The write arrives after its caller gave up.
+		s.late = append(s.late, c.run)
+		c.end <- store.ErrUnavailable
+	case kind == 9:
+		// The process is killed with its call on the way.
+		if c.write {
+			s.late = append(s.late, c.run)
+		}
+		o.cancel()
+		c.end <- context.Canceled
+	default:
+		c.run()
+		c.end <- nil
+	}
+	s.await(o)
+}
+
+// Guards against changes that are lost, doubled, reverted or misreported when
+// operators race, processes die, answers are lost and writes arrive late.
+func TestSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, err := memory.New(memory.Config{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &schedule{
+			t: t, tasks: group.New(context.Background()), memory: m, faults: etcdserver.NewFaults(m),
+			raws: map[string]string{}, made: map[string]uint64{}, refused: map[string]bool{},
+		}
+		seen := s.watch()
+		operators := []*operator{}
+		for _, name := range []string{"kimi", "noor"} {
+			operators = append(operators, &operator{
+				name: name, store: &stepped{Store: m, calls: make(chan *call)}, done: make(chan outcome),
+			})
+		}
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			switch action := rapid.IntRange(0, 12).Draw(t, "action"); {
+			case action == 11:
+				s.faults.Set(etcdserver.Settings{Down: rapid.Bool().Draw(t, "down")})
+			case action == 12 && len(s.late) > 0:
+				i := rapid.IntRange(0, len(s.late)-1).Draw(t, "late")
+				run := s.late[i]
+				s.late = slices.Delete(s.late, i, i+1)
+				run()
+			default:
+				o := operators[action%2]
+				if o.change == nil {
+					s.begin(o)
+				} else {
+					s.step(o, true)
+				}
+			}
+		}
+		for _, o := range operators {
+			for o.change != nil {
+				s.step(o, false)
+			}
+		}
+		for _, run := range s.late {
+			run()
+		}
+		s.faults.Set(etcdserver.Settings{})
+		s.check(seen)
+	})
+}
+
+// watch follows the versions through faults and restarts and returns what it saw.
+func (s *schedule) watch() <-chan *Snapshot {
+	seen := make(chan *Snapshot, 1000)
+	s.tasks.Go("watch", func(ctx context.Context) error {
+		last := uint64(0)
+		for ctx.Err() == nil {
+			delivered := 0
+			// The process restarts after every second version.
+			err := Watch(ctx, WatchConfig{
+				Store: s.faults.Store("watcher"), After: last, Backoff: backoff.Policy{First: 1000, Max: 1000},
+			}, func(v *Snapshot) error {
+				seen <- v
+				last = v.Version()
+				if delivered++; delivered == 2 {
+					return errors.New("restart")
+				}
+				return nil
+			})
+			if err == nil {
+				return errors.New("watch ended without an error")
+			}
+		}
+		return nil
+	})
+	return seen
+}
+
+func (s *schedule) check(seen <-chan *Snapshot) {
+	t, ctx := s.t, context.Background()
+	current, err := Load(ctx, s.memory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	made := map[string]uint64{}
+	ids := map[uint32]string{}
+	before := emptySnapshot()
+	for v := uint64(1); v <= current.Version(); v++ {
+		after, err := LoadVersion(ctx, s.memory, v)
+		if err != nil || after == nil {
+			t.Fatalf("version %d is lost: %v", v, err)
+		}
+		m := after.manifest
+		if made[m.ChangeID] != 0 {
+			t.Fatalf("change %s was applied twice", m.ChangeID)
+		}
+		made[m.ChangeID] = v
+		if m.Version != v || m.Base != v-1 {
+			t.Fatalf("version %d is stored as version %d made to %d", v, m.Version, m.Base)
+		}
+		if string(after.source.raw) != s.raws[m.ChangeID] {
+			t.Fatalf("version %d does not hold what change %s wanted", v, m.ChangeID)
+		}
+		s.checkServices(before, after, ids)
+		before = after
+	}
+	for id, v := range s.made {
+		if made[id] != v {
+			t.Fatalf("change %s was reported as version %d and is version %d", id, v, made[id])
+		}
+	}
+	for id := range s.refused {
+		if made[id] != 0 {
+			t.Fatalf("change %s was refused and made version %d", id, made[id])
+		}
+	}
+	records, err := audit.Read(ctx, s.memory, audit.Query{})
+	if err != nil || uint64(len(records)) != current.Version() {
+		t.Fatalf("%d audit records for %d versions: %v", len(records), current.Version(), err)
+	}
+	s.checkWatch(seen, current.Version())
+}
+
+func (s *schedule) checkServices(before, after *Snapshot, ids map[uint32]string) {
+	known := map[string]ManifestService{}
+	for _, m := range before.manifest.Services {
+		known[m.Name] = m
+	}
+	for _, m := range after.manifest.Services {
+		old, stays := known[m.Name]
+		if stays && old.ID != m.ID || !stays && ids[m.ID] != "" {
+			s.t.Fatalf("version %d: service %s has id %d, which belonged to %q", after.Version(), m.Name, m.ID, ids[m.ID])
+		}
+		ids[m.ID] = m.Name
+		same := stays && sameService(before.source.document, after.source.document, m.Name)
+		if same && m.Version != old.Version || !same && m.Version != after.Version() {
+			s.t.Fatalf("version %d: service %s is said to have changed in version %d", after.Version(), m.Name, m.Version)
+		}
+	}
+}
+
+func (s *schedule) checkWatch(seen <-chan *Snapshot, current uint64) {
+	timeout := time.After(10 * time.Second)
+	last := uint64(0)
+	for last < current {
+		select {
+		case v := <-seen:
+			if v.Version() <= last {
+				s.t.Fatalf("the watch delivered version %d after %d", v.Version(), last)
+			}
+			last = v.Version()
+			if string(v.source.raw) != s.raws[v.manifest.ChangeID] {
+				s.t.Fatalf("the watch delivered other content for version %d", last)
+			}
+		case <-timeout:
+			s.t.Fatalf("the watch did not deliver version %d within 10 s, it is at %d", current, last)
+		}
+	}
+	s.tasks.Stop()
+	if err := s.tasks.Wait(); err != nil {
+		s.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/operator/config/snapshot.go
@@ -0,0 +1,141 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/platform/store"
+)
+
+// Snapshot is one version of the configuration as the store holds it.
+type Snapshot struct {
+	manifest *Manifest
+	source   *Source
+	// modRevision is that of the current manifest, or 0 when there is none.
+	modRevision int64
+}
+
+// ServiceState is everything that a version says about one service.
+type ServiceState struct {
+	Definition *controlpb.Service
+	// ConfigVersion is the version in which any of the other fields last changed.
+	ConfigVersion uint64
+	Sharing       Sharing
+	Hosts         map[string]Host
+}
+
+// Version returns the version, which is 0 when nothing was applied yet.
+func (s *Snapshot) Version() uint64 { return s.manifest.Version }
+
+// Manifest returns the manifest, which callers must not change.
+func (s *Snapshot) Manifest() *Manifest { return s.manifest }
+
+// Source returns the merged document and its origins.
+func (s *Snapshot) Source() *Source { return s.source }
+
+// Services returns the state of every service, ordered by id.
+func (s *Snapshot) Services() (states []ServiceState) {
+	d := s.source.document
+	for _, m := range s.manifest.Services {
+		states = append(states, ServiceState{
+			Definition: d.Definition(m.Name, m.ID), ConfigVersion: m.Version,
+			Sharing: d.Sharing(m.Name), Hosts: d.HostsOf(m.Name),
+		})
+	}
+	return states
+}
+
+func emptySnapshot() *Snapshot {
+	return &Snapshot{
+		manifest: &Manifest{NextServiceID: 1},
+		source:   &Source{raw: []byte("{}"), origins: map[string]string{}, document: emptyDocument()},
+	}
+}
+
+func emptyDocument() *Document {
+	return &Document{
+		Services: map[string]Service{}, Hosts: map[string]Host{},
+		LoadSharing: LoadSharing{Default: defaultSharing(), Services: map[string]Sharing{}},
+	}
+}
+
+// Load returns the current version. It reads once; the error is that of the store.
+func Load(ctx context.Context, s store.Store) (snapshot *Snapshot, err error) {
+	defer func() { err = errors.WithMessage(err, "load configuration") }()
+	entry, _, err := s.Get(ctx, CurrentKey)
+	if err != nil {
+		return nil, err
+	}
+	if entry == nil {
+		return emptySnapshot(), nil
+	}
+	return snapshotOf(ctx, s, entry)
+}
+
+// LoadVersion returns an earlier version, or nil when there is none of that number.
+func LoadVersion(ctx context.Context, s store.Store, version uint64) (snapshot *Snapshot, err error) {
+	defer func() { err = errors.WithMessagef(err, "load configuration version %d", version) }()
+	if version == 0 {
+		return emptySnapshot(), nil
+	}
+	entry, _, err := s.Get(ctx, versionKey(version))
+	if err != nil || entry == nil {
+		return nil, err
+	}
+	return snapshotOf(ctx, s, entry)
+}
+
+func snapshotOf(ctx context.Context, s store.Store, entry *store.Entry) (snapshot *Snapshot, err error) {
+	m, err := DecodeManifest(entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	source, err := readBody(ctx, s, m)
+	if err != nil {
+		return nil, err
+	}
+	return &Snapshot{manifest: m, source: source, modRevision: entry.ModRevision}, nil
+}
+
+// LoadHistory returns the manifests of the newest versions, newest first.
+func LoadHistory(ctx context.Context, s store.Store, limit int) (manifests []*Manifest, err error) {
+	defer func() { err = errors.WithMessage(err, "load configuration history") }()
+	entry, _, err := s.Get(ctx, CurrentKey)
+	if err != nil || entry == nil {
+		return nil, err
+	}
+	current, err := DecodeManifest(entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	for v := current.Version; v > 0 && len(manifests) < limit; v-- {
+		if entry, _, err = s.Get(ctx, versionKey(v)); err != nil {
+			return nil, err
+		}
+		if entry == nil {
+			return nil, errors.WithMessagef(ErrCorrupt, "version %d is missing", v)
+		}
+		m, err := DecodeManifest(entry.Value)
+		if err != nil {
+			return nil, err
+		}
+		manifests = append(manifests, m)
+	}
+	return manifests, nil
+}
+
+// findChange returns what a change id has done, or nil when it has done nothing.
+func findChange(ctx context.Context, s store.Store, id string) (c *change, err error) {
+	entry, _, err := s.Get(ctx, changeKey(id))
+	if err != nil || entry == nil {
+		return nil, err
+	}
+	c = &change{}
+	if err = json.Unmarshal(entry.Value, c); err != nil {
+		return nil, errors.WithMessagef(ErrCorrupt, "change %s: %v", id, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/operator/config/strict.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// maxDepth is far above the depth of the schema and keeps recursion small.
+const maxDepth = 32
+
+// checkStrict refuses what encoding/json accepts silently and an operator does
+// not mean: keys given twice in an object, and text after the document.
+func checkStrict(content []byte) (err error) {
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.UseNumber()
+	if err = checkValue(decoder, "", 0); err != nil {
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			err = errors.New("the file ends in the middle of a value")
+		}
+		return err
+	}
+	if _, err = decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.Errorf("text after the end of the document at byte %d", decoder.InputOffset())
+	}
+	return nil
+}
+
+func checkValue(decoder *json.Decoder, at string, depth int) (err error) {
+	if depth > maxDepth {
+		return errors.Errorf("field %s: nested deeper than %d", at, maxDepth)
+	}
+	token, err := decoder.Token()
+	if err != nil {
+		return err
+	}
+	delim, ok := token.(json.Delim)
+	if !ok {
+		return nil
+	}
+	seen := map[string]bool{}
+	for decoder.More() {
+		pointer := at
+		if delim == '{' {
+			if token, err = decoder.Token(); err != nil {
+				return err
+			}
+			key, _ := token.(string)
+			pointer = at + "/" + escapePointer(key)
+			if seen[key] {
+				return errors.Errorf("field %s is given twice", pointer)
+			}
+			seen[key] = true
+		}
+		if err = checkValue(decoder, pointer, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err = decoder.Token()
+	return err
+}
--- /dev/null
+++ b/internal/operator/config/write.go
@@ -0,0 +1,125 @@
+package config
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/operator/audit"
+	"agateramp/internal/platform/store"
+)
+
+// write commits the change as the version after current. It reports false when
+// the compare-and-swap failed, and the next attempt finds out why.
+func (a *applier) write(ctx context.Context, current *Snapshot, changes []audit.FieldChange) (done bool, err error) {
+	next := a.manifest(current)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return false, err
+	}
+	made, err := json.Marshal(change{Version: next.Version, Digest: a.digest})
+	if err != nil {
+		return false, err
+	}
+	kind := audit.KindApply
+	if next.RollbackTo != 0 {
+		kind = audit.KindRollback
+	}
+	compares, writes, err := audit.Prepare(ctx, a.store, audit.Record{
+		Time: next.Time, Kind: kind, Who: next.Who, From: next.From, Reason: next.Reason,
+		ChangeID: next.ChangeID, Base: next.Base, Version: next.Version, Diff: changes,
+	})
+	if err != nil {
+		return false, err
+	}
+	parts := chunks(a.packed)
+	for i, key := range next.Chunks {
+		chunk := store.Write{Key: key, Value: parts[i]}
+		if len(parts) == 1 {
+			writes = append(writes, chunk)
+			break
+		}
+		if _, err = a.store.Txn(ctx, nil, []store.Write{chunk}); err != nil {
+			return false, err
+		}
+	}
+	compares = append(compares,
+		store.Compare{Key: CurrentKey, Revision: current.modRevision},
+		store.Compare{Key: versionKey(next.Version)}, store.Compare{Key: changeKey(next.ChangeID)})
+	writes = append(writes,
+		store.Write{Key: CurrentKey, Value: value}, store.Write{Key: versionKey(next.Version), Value: value},
+		store.Write{Key: changeKey(next.ChangeID), Value: made})
+	result, err := a.store.Txn(ctx, compares, writes)
+	if err != nil {
+		a.unknown = true
+		return false, err
+	}
+	if !result.Succeeded {
+		return false, nil
+	}
+	a.result = Result{Version: next.Version}
+	return true, nil
+}
+
+func (a *applier) manifest(current *Snapshot) *Manifest {
+	c, old := a.change, current.manifest
+	next := &Manifest{
+		Version: old.Version + 1, ChangeID: c.ID, Base: old.Version, RollbackTo: c.RollbackTo, Who: c.Who,
+		From: c.From, Time: c.Now().UTC(), Reason: c.Reason, NextServiceID: old.NextServiceID, Digest: a.digest,
+	}
+	for i := range chunks(a.packed) {
+		next.Chunks = append(next.Chunks, chunkKey(next.Version, c.ID, a.digest, i))
+	}
+	known := map[string]ManifestService{}
+	for _, s := range old.Services {
+		known[s.Name] = s
+	}
+	for _, name := range a.source.document.ServiceNames() {
+		s, ok := known[name]
+		if !ok {
+			s = ManifestService{ID: next.NextServiceID, Name: name}
+			next.NextServiceID++
+		}
+		if !ok || !sameService(current.source.document, a.source.document, name) {
+			s.Version = next.Version
+		}
+		next.Services = append(next.Services, s)
+	}
+	slices.SortFunc(next.Services, func(x, y ManifestService) int { return cmp.Compare(x.ID, y.ID) })
+	return next
+}
+
+// removeChunks deletes what a lost change wrote in advance. Chunks that remain
+// after a failure cost space only.
+func (a *applier) removeChunks(ctx context.Context, version uint64) {
+	parts := chunks(a.packed)
+	if len(parts) == 1 {
+		return
+	}
+	for i := range parts {
+		key := chunkKey(version, a.change.ID, a.digest, i)
+		if _, err := a.store.Txn(ctx, nil, []store.Write{{Key: key, Delete: true}}); err != nil {
+			return
+		}
+	}
+}
+
+func chunks(packed []byte) [][]byte { return slices.Collect(slices.Chunk(packed, chunkBytes)) }
+
+func sameOrigins(a, b *Source) bool { return maps.Equal(a.origins, b.origins) }
+
+// Current returns the manifest of the current version, or nil when nothing was
+// applied yet, and the revision of the store.
+func Current(ctx context.Context, s store.Store) (m *Manifest, revision int64, err error) {
+	defer func() { err = errors.WithMessage(err, "read configuration manifest") }()
+	entry, revision, err := s.Get(ctx, CurrentKey)
+	if err != nil || entry == nil {
+		return nil, revision, err
+	}
+	m, err = DecodeManifest(entry.Value)
+	return m, revision, err
+}
