--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -22,6 +22,8 @@
 
 // cli is the command tree; each field's type stands in the file of its command.
 type cli struct {
+	Config  configCommand  `cmd:"" help:"Check, apply and inspect the configuration."`
+	Audit   auditCommand   `cmd:"" help:"Print and verify the audit trail."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/cli/commands/config.go
@@ -0,0 +1,132 @@
+package commands
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/operator/config"
+	"agateramp/internal/platform/etcd"
+	"agateramp/internal/platform/store"
+)
+
+// configCommand groups the commands on the configuration.
+type configCommand struct {
+	Check    configCheckCommand    `cmd:"" help:"Merge and check the configuration folder."`
+	Diff     configDiffCommand     `cmd:"" help:"Show what an apply would change."`
+	Apply    configApplyCommand    `cmd:"" help:"Make the folder the next version of the configuration."`
+	Show     configShowCommand     `cmd:"" help:"Show the configuration."`
+	History  configHistoryCommand  `cmd:"" help:"List the versions of the configuration."`
+	Rollback configRollbackCommand `cmd:"" help:"Restore an earlier version as a new version."`
+}
+
+// folderFlag names the configuration folder.
+type folderFlag struct {
+	Folder string `help:"Configuration folder." default:"config" type:"path"`
+}
+
+func (f *folderFlag) read(env *environment) (s *config.Source, err error) {
+	info, err := os.Stat(f.Folder)
+	if err == nil && !info.IsDir() {
+		err = errors.Errorf("%s is not a folder", f.Folder)
+	}
+	if err != nil {
+		return nil, usage(err)
+	}
+	if s, err = config.ReadFolder(os.DirFS(f.Folder)); err != nil {
+		return nil, usage(err)
+	}
+	for _, w := range s.Warnings() {
+		fmt.Fprintf(env.stderr, "agateramp: warning: %s\n", w)
+	}
+	return s, nil
+}
+
+// storeFlags say how to reach the store.
+type storeFlags struct {
+	Store   []string      `help:"Addresses of the store, host:port." default:"127.0.0.1:2379" env:"AGATERAMP_STORE"`
+	TLS     bool          `help:"Use TLS with the system's certificate authorities." name:"store-tls"`
+	Timeout time.Duration `help:"How long to try." default:"30s"`
+}
+
+func (f *storeFlags) open() (ctx context.Context, s store.Store, end func(), err error) {
+	cfg := etcd.Config{Endpoints: f.Store, Name: "agateramp-cli"}
+	if f.TLS {
+		cfg.TLS = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	client, err := etcd.New(cfg)
+	if err != nil {
+		return nil, nil, nil, usage(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	return ctx, client, func() {
+		cancel()
+		client.Close()
+	}, nil
+}
+
+// changeFlags describe a change.
+type changeFlags struct {
+	Reason   string `help:"Why the change is made; kept in the audit trail."`
+	ChangeID string `help:"Identifies the change over retries. A new one is made when empty."`
+	Who      string `help:"Who makes the change." env:"AGATERAMP_WHO"`
+}
+
+// change fills in what the operator left out.
+func (f *changeFlags) change(env *environment) (c config.Change, err error) {
+	c = config.Change{ID: f.ChangeID, Who: f.Who, Reason: f.Reason}
+	if c.ID == "" {
+		c.ID = fmt.Sprintf("%s-%s", time.Now().UTC().Format("20060102t150405"), strings.ToLower(rand.Text()[:10]))
+	}
+	if c.Who == "" {
+		if u, err := user.Current(); err == nil {
+			c.Who = u.Username
+		}
+	}
+	if c.Who == "" {
+		return c, usage(errors.New("--who is not set and the user has no name"))
+	}
+	if c.From, err = os.Hostname(); err != nil {
+		return c, err
+	}
+	fmt.Fprintf(env.stderr, "agateramp: change id %s\n", c.ID)
+	return c, nil
+}
+
+// usage marks an error of arguments or configuration.
+func usage(err error) error { return &usageError{err} }
+
+type usageError struct{ error }
+
+func (e *usageError) Unwrap() error { return e.error }
+
+func (e *usageError) Is(target error) bool { return target == errUsage }
+
+// applied reports the result of a change.
+func applied(out io.Writer, result config.Result, err error) error {
+	switch {
+	case errors.Is(err, config.ErrInvalidChange), errors.Is(err, config.ErrChangeIDReused):
+		return usage(err)
+	case errors.Is(err, config.ErrOutcomeUnknown):
+		return errors.WithMessage(err, "run the command again with the same --change-id and --base")
+	case err != nil:
+		return err
+	}
+	switch {
+	case result.Unchanged:
+		_, err = fmt.Fprintf(out, "version %d already has this content\n", result.Version)
+	case result.Repeated:
+		_, err = fmt.Fprintf(out, "version %d was made by an earlier run of this change\n", result.Version)
+	default:
+		_, err = fmt.Fprintf(out, "version %d accepted\n", result.Version)
+	}
+	return err
+}
--- a/internal/operator/config/apply.go
+++ b/internal/operator/config/apply.go
@@ -128,7 +128,7 @@
 			if a.unknown {
 				return result, errors.WithMessagef(ErrOutcomeUnknown, "change id %s", c.ID)
 			}
-			return result, errors.WithMessagef(store.ErrUnavailable, "nothing was applied: %v", stop)
+			return result, errors.WithMessagef(store.ErrUnavailable, "this run sent no write: %v", stop)
 		}
 	}
 }
--- a/internal/operator/config/diff.go
+++ b/internal/operator/config/diff.go
@@ -25,6 +25,16 @@
 	return changes, nil
 }
 
+// Values returns every value of a document that has no field below it, by JSON pointer.
+func Values(raw []byte) (values map[string]json.RawMessage, err error) {
+	changes, err := Diff([]byte("{}"), raw)
+	values = make(map[string]json.RawMessage, len(changes))
+	for _, c := range changes {
+		values[c.Field] = c.New
+	}
+	return values, err
+}
+
 func diffValues(changes []audit.FieldChange, at string, a, b any) []audit.FieldChange {
 	x, xIsObject := a.(map[string]any)
 	y, yIsObject := b.(map[string]any)
--- a/internal/operator/config/manifest.go
+++ b/internal/operator/config/manifest.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -95,6 +96,9 @@
 	return m, nil
 }
 
+// writers keeps compressors, of which each new one allocates about 800 KiB.
+var writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+
 // pack compresses a source and returns its digest, which is that of the
 // content and not of the compressed form.
 func pack(s *Source) (packed []byte, digest string, err error) {
@@ -107,7 +111,9 @@
 	}
 	sum := sha256.Sum256(plain)
 	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
+	w, _ := writers.Get().(*gzip.Writer)
+	defer writers.Put(w)
+	w.Reset(&b)
 	if _, err = w.Write(plain); err != nil {
 		return nil, "", err
 	}
