--- a/internal/operator/audit/audit.go
+++ b/internal/operator/audit/audit.go
@@ -155,6 +155,9 @@
 	}
 	if h.Segment == 0 || len(value) > maxSegmentBytes && len(last.Records) > 1 {
 		h.Segment, lastRevision = h.Segment+1, 0
+		if err = checkFree(ctx, s, h.Segment, headRevision); err != nil {
+			return nil, nil, err
+		}
 		if value, err = json.Marshal(segment{Records: []Record{r}}); err != nil {
 			return nil, nil, err
 		}
@@ -172,6 +175,20 @@
 	}, nil
 }
 
+// checkFree returns ErrBroken when a segment exists that the head does not
+// count. Every append would fail its conditions then, without saying why.
+func checkFree(ctx context.Context, s store.Store, number uint64, headRevision int64) (err error) {
+	entry, _, err := s.Get(ctx, Key(number))
+	if err != nil || entry == nil {
+		return err
+	}
+	_, revision, err := readHead(ctx, s)
+	if err != nil || revision != headRevision {
+		return err
+	}
+	return errors.WithMessagef(ErrBroken, "segment %d exists and the head does not count it", number)
+}
+
 func readHead(ctx context.Context, s store.Store) (h head, revision int64, err error) {
 	entry, _, err := s.Get(ctx, headKey)
 	if err != nil || entry == nil {
--- a/internal/operator/config/config_test.go
+++ b/internal/operator/config/config_test.go
@@ -89,6 +89,7 @@
 		{"truncated", []string{`{"services":`}, "file 00.json: the file ends in the middle of a value"},
 		{"no object", []string{`[]`}, "file 00.json: the top level must be an object"},
 		{"depth", []string{strings.Repeat(`{"a":`, 100) + "1" + strings.Repeat("}", 100)}, "nested deeper than 32"},
+		{"null in array", []string{`{"services":{"a":{"addresses":[{"protocol":null}]}}}`}, "field /services/a/addresses/protocol: null in an array"},
 		{"empty folder", nil, "the folder has no .json file"},
 	}
 	for _, c := range cases {
--- a/internal/operator/config/strict.go
+++ b/internal/operator/config/strict.go
@@ -12,11 +12,12 @@
 const maxDepth = 32
 
 // checkStrict refuses what encoding/json accepts silently and an operator does
-// not mean: keys given twice in an object, and text after the document.
+// not mean: keys given twice in an object, text after the document, and null
+// inside an array, where it removes nothing.
 func checkStrict(content []byte) (err error) {
 	decoder := json.NewDecoder(bytes.NewReader(content))
 	decoder.UseNumber()
-	if err = checkValue(decoder, "", 0); err != nil {
+	if err = checkValue(decoder, "", 0, false); err != nil {
 		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 			err = errors.New("the file ends in the middle of a value")
 		}
@@ -28,7 +29,7 @@
 	return nil
 }
 
-func checkValue(decoder *json.Decoder, at string, depth int) (err error) {
+func checkValue(decoder *json.Decoder, at string, depth int, inArray bool) (err error) {
 	if depth > maxDepth {
 		return errors.Errorf("field %s: nested deeper than %d", at, maxDepth)
 	}
@@ -38,8 +39,13 @@
 	}
 	delim, ok := token.(json.Delim)
 	if !ok {
+		// Merge patch libraries differ in what becomes of them.
+		if token == nil && inArray {
+			return errors.Errorf("field %s: null in an array", at)
+		}
 		return nil
 	}
+	inArray = inArray || delim == '['
 	seen := map[string]bool{}
 	for decoder.More() {
 		pointer := at
@@ -54,7 +60,7 @@
 			}
 			seen[key] = true
 		}
-		if err = checkValue(decoder, pointer, depth+1); err != nil {
+		if err = checkValue(decoder, pointer, depth+1, inArray); err != nil {
 			return err
 		}
 	}
