operator: Record audit interference and scale of the configuration

Cause: removing the audit conditions from the transaction was not noticed by the schedules, because only changes wrote to the trail; looking up the overrides of a service walked all hosts. Conclusion: a change and its audit record are tied together.

--- a/internal/operator/config/document.go
+++ b/internal/operator/config/document.go
@@ -9,11 +9,14 @@
 	"github.com/pkg/errors"
 )
 
-// Document is a complete configuration, with defaults filled in.
+// Document is a complete configuration, with defaults filled in. It is read from
+// a folder or from the store and must not be changed.
 type Document struct {
 	Services    map[string]Service `json:"services"`
 	LoadSharing LoadSharing        `json:"load_sharing"`
 	Hosts       map[string]Host    `json:"hosts"`
+
+	hostsOf map[string]map[string]Host
 }
 
 // Service is the definition of a service. Empty fields are described in docs/configuration.md.
@@ -95,6 +98,13 @@
 	if d.Hosts == nil {
 		d.Hosts = map[string]Host{}
 	}
+	d.hostsOf = map[string]map[string]Host{}
+	for name, h := range d.Hosts {
+		if d.hostsOf[h.Service] == nil {
+			d.hostsOf[h.Service] = map[string]Host{}
+		}
+		d.hostsOf[h.Service][name] = h
+	}
 	for name, part := range parts.Services {
 		s := defaultService()
 		if err = json.Unmarshal(part, &s); err != nil {
@@ -128,16 +138,9 @@
 	return d.LoadSharing.Default
 }
 
-// HostsOf returns the overrides of the hosts of a service.
-func (d *Document) HostsOf(service string) map[string]Host {
-	hosts := map[string]Host{}
-	for name, h := range d.Hosts {
-		if h.Service == service {
-			hosts[name] = h
-		}
-	}
-	return hosts
-}
+// HostsOf returns the overrides of the hosts of a service, which callers must
+// not change.
+func (d *Document) HostsOf(service string) map[string]Host { return d.hostsOf[service] }
 
 // sameService reports whether everything that applies to a service is equal in
 // two documents. The shard holder publishes a new spec when it is not.
--- a/internal/operator/config/model_test.go
+++ b/internal/operator/config/model_test.go
@@ -107,6 +107,8 @@
 	made    map[string]uint64
 	refused map[string]bool
 	next    int
+	// drains counts audit records that are no versions.
+	drains int
 }
 
 func (s *schedule) start(o *operator) {
@@ -258,7 +260,7 @@
 			})
 		}
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
-			switch action := rapid.IntRange(0, 12).Draw(t, "action"); {
+			switch action := rapid.IntRange(0, 13).Draw(t, "action"); {
 			case action == 11:
 				s.faults.Set(etcdserver.Settings{Down: rapid.Bool().Draw(t, "down")})
 			case action == 12 && len(s.late) > 0:
@@ -266,6 +268,12 @@
 				run := s.late[i]
 				s.late = slices.Delete(s.late, i, i+1)
 				run()
+			case action == 13:
+				s.drains++
+				r := audit.Record{Kind: audit.KindDrain, ChangeID: fmt.Sprint("drain-", s.drains)}
+				if err := audit.Append(context.Background(), m, r, backoff.Policy{}); err != nil {
+					t.Fatal(err)
+				}
 			default:
 				o := operators[action%2]
 				if o.change == nil {
@@ -354,8 +362,20 @@
 		}
 	}
 	records, err := audit.Read(ctx, s.memory, audit.Query{})
-	if err != nil || uint64(len(records)) != current.Version() {
-		t.Fatalf("%d audit records for %d versions: %v", len(records), current.Version(), err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorded := map[string]uint64{}
+	for _, r := range records {
+		recorded[r.ChangeID] = r.Version
+	}
+	for id, v := range made {
+		if recorded[id] != v {
+			t.Fatalf("change %s made version %d and is recorded as version %d", id, v, recorded[id])
+		}
+	}
+	if len(records) != len(made)+s.drains || len(recorded) != len(records) {
+		t.Fatalf("%d audit records for %d versions and %d drains", len(records), len(made), s.drains)
 	}
 	s.checkWatch(seen, current.Version())
 }
