operator: Keep 1,000 versions and pass over damaged ones

Cause: versions filled the store without a bound, and a damaged version held up every later one in a watch. No test covered TLS or a connection that falls silent. Change: the transaction of a new version removes the one 1,000 versions back; a watch reports a version that it cannot read and goes on; the ping timeout of the store client can be set.

--- a/internal/operator/config/apply.go
+++ b/internal/operator/config/apply.go
@@ -48,6 +48,9 @@
 	Source *Source
 	// RollbackTo is the version to restore. Empty means that Source is set.
 	RollbackTo uint64
+	// Keep is how many versions are kept, the new one included; the audit trail
+	// and the change ids are always kept. Empty means 1,000.
+	Keep uint64
 	// Now returns the time of the change. Empty means time.Now.
 	Now func() time.Time
 	// Backoff is waited between attempts while the store is unavailable.
@@ -106,6 +109,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Keep == 0 {
+		c.Keep = defaultKeep
+	}
 	a := &applier{store: s, change: &c}
 	failures := 0
 	for {
@@ -187,7 +193,7 @@
 			return err
 		}
 		if target == nil {
-			return errors.WithMessagef(ErrInvalidChange, "version %d does not exist", a.change.RollbackTo)
+			return errors.WithMessagef(ErrInvalidChange, "version %d does not exist or is no longer kept", a.change.RollbackTo)
 		}
 		// The checks may have become stricter since the version was applied.
 		if a.source, err = newSource(target.source.raw, target.source.origins); err != nil {
@@ -231,7 +237,8 @@
 		return false, err
 	}
 	if before == nil || winner == nil {
-		return false, errors.WithMessagef(ErrCorrupt, "version %d or %d is missing", base, base+1)
+		return false, errors.WithMessagef(ErrInvalidChange, "base version %d is no longer kept; the current version is %d",
+			base, current.Version())
 	}
 	theirs, err := Diff(before.source.raw, current.source.raw)
 	if err != nil {
--- a/internal/operator/config/config_test.go
+++ b/internal/operator/config/config_test.go
@@ -252,6 +252,68 @@
 	is.Equal(result, Result{Version: 1, Repeated: true})
 }
 
+// Guards against old versions that fill the store, and against new ones that
+// are removed instead.
+func TestOldVersionsAreRemoved(t *testing.T) {
+	is := is.New(t)
+	ctx, m := context.Background(), newStore(t)
+	for n := range 5 {
+		c := newChange(fmt.Sprint("c", n), "a", read(t, studio, fmt.Sprintf(`{"services":{"studio":{"drain_time_ms":%d}}}`, n)))
+		c.Keep = 2
+		_, err := Apply(ctx, m, c)
+		is.NoErr(err)
+	}
+	history, err := LoadHistory(ctx, m, 10)
+	is.NoErr(err)
+	is.Equal(len(history), 2)
+	old, err := LoadVersion(ctx, m, 4)
+	is.NoErr(err)
+	is.Equal(old.Source().Document().Services["studio"].DrainTimeMS, uint32(3))
+	entries, _, err := m.List(ctx, prefix+"chunk/")
+	is.NoErr(err)
+	is.Equal(len(entries), 2)
+	base := uint64(1)
+	c := newChange("late", "a", read(t, studio))
+	c.Base = &base
+	_, err = Apply(ctx, m, c)
+	is.True(errors.Is(err, ErrInvalidChange))
+	c = newChange("c0", "a", read(t, studio, `{"services":{"studio":{"drain_time_ms":0}}}`))
+	result, err := Apply(ctx, m, c)
+	is.NoErr(err)
+	is.Equal(result, Result{Version: 1, Repeated: true})
+}
+
+// Guards against a damaged version that holds up the versions after it.
+func TestWatchSkipsDamagedVersion(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	m := newStore(t)
+	_, err := Apply(ctx, m, newChange("one", "a", read(t, studio)))
+	is.NoErr(err)
+	entry, _, err := m.Get(ctx, CurrentKey)
+	is.NoErr(err)
+	var seen []uint64
+	reports := 0
+	done := errors.New("done")
+	err = Watch(ctx, WatchConfig{Store: m, Report: func(error) { reports++ }}, func(s *Snapshot) error {
+		seen = append(seen, s.Version())
+		if len(seen) == 2 {
+			return done
+		}
+		for _, value := range []string{"{", `{"version":2,"change_id":"x","chunks":["none"]}`, string(entry.Value)} {
+			_, err := m.Txn(ctx, nil, []store.Write{{Key: CurrentKey, Value: []byte(value)}})
+			is.NoErr(err)
+		}
+		_, err := Apply(ctx, m, newChange("two", "a", read(t, studio, `{"services":{"studio":{"idempotent":true}}}`)))
+		is.NoErr(err)
+		return nil
+	})
+	is.True(errors.Is(err, done))
+	is.Equal(seen, []uint64{1, 2})
+	is.Equal(reports, 2)
+}
+
 // deaf loses every answer from the first transaction on.
 type deaf struct {
 	store.Store
--- a/internal/operator/config/manifest.go
+++ b/internal/operator/config/manifest.go
@@ -29,6 +29,11 @@
 	chunkBytes = 512 << 10
 	// maxBodyBytes bounds what a reader unpacks.
 	maxBodyBytes = 64 << 20
+	// defaultKeep is how many versions are kept. At design scale a version has
+	// 156 KB, and 590 changes a day would fill 33 GB a year.
+	defaultKeep = 1000
+	// maxRemovals keeps a transaction below the 128 operations that the store takes.
+	maxRemovals = 64
 )
 
 // ErrCorrupt says that what the store holds does not fit its manifest.
--- a/internal/operator/config/snapshot.go
+++ b/internal/operator/config/snapshot.go
@@ -75,7 +75,8 @@
 	return snapshotOf(ctx, s, entry)
 }
 
-// LoadVersion returns an earlier version, or nil when there is none of that number.
+// LoadVersion returns an earlier version, or nil when there is none of that
+// number or it is no longer kept.
 func LoadVersion(ctx context.Context, s store.Store, version uint64) (snapshot *Snapshot, err error) {
 	defer func() { err = errors.WithMessagef(err, "load configuration version %d", version) }()
 	if version == 0 {
@@ -116,7 +117,8 @@
 			return nil, err
 		}
 		if entry == nil {
-			return nil, errors.WithMessagef(ErrCorrupt, "version %d is missing", v)
+			// Older versions are no longer kept.
+			return manifests, nil
 		}
 		m, err := DecodeManifest(entry.Value)
 		if err != nil {
--- a/internal/operator/config/watch.go
+++ b/internal/operator/config/watch.go
@@ -62,9 +62,7 @@
 		if errors.As(err, &failed) {
 			return failed.error
 		}
-		if cfg.Report != nil {
-			cfg.Report(err)
-		}
+		w.report(err)
 		if errors.Is(err, store.ErrCompacted) {
 			w.revision = 0
 		}
@@ -96,7 +94,7 @@
 		if err != nil {
 			return false, err
 		}
-		if err = w.hand(m); err != nil {
+		if err = w.skip(w.hand(m)); err != nil {
 			return false, err
 		}
 		w.revision = revision + 1
@@ -116,10 +114,10 @@
 				continue
 			}
 			m, err := DecodeManifest(e.Entry.Value)
-			if err != nil {
-				return true, err
+			if err == nil {
+				err = w.hand(m)
 			}
-			if err = w.hand(m); err != nil {
+			if err = w.skip(err); err != nil {
 				return true, err
 			}
 			w.revision = e.Entry.ModRevision + 1
@@ -128,6 +126,22 @@
 	}
 }
 
+func (w *manifestWatch) report(err error) {
+	if w.cfg.Report != nil {
+		w.cfg.Report(err)
+	}
+}
+
+// skip passes over a version that cannot be read: the last good one stays in
+// force, and the next one is not held up.
+func (w *manifestWatch) skip(err error) error {
+	if errors.Is(err, ErrCorrupt) {
+		w.report(err)
+		return nil
+	}
+	return err
+}
+
 func (w *manifestWatch) hand(m *Manifest) error {
 	if m == nil || m.Version <= w.version {
 		return nil
--- a/internal/operator/config/write.go
+++ b/internal/operator/config/write.go
@@ -36,6 +36,11 @@
 	if err != nil {
 		return false, err
 	}
+	removals, err := a.removals(ctx, next.Version)
+	if err != nil {
+		return false, err
+	}
+	writes = append(writes, removals...)
 	parts := chunks(a.packed)
 	for i, key := range next.Chunks {
 		chunk := store.Write{Key: key, Value: parts[i]}
@@ -65,6 +70,28 @@
 	return true, nil
 }
 
+// removals deletes the version that the new one pushes out.
+func (a *applier) removals(ctx context.Context, version uint64) (writes []store.Write, err error) {
+	if version <= a.change.Keep {
+		return nil, nil
+	}
+	key := versionKey(version - a.change.Keep)
+	entry, _, err := a.store.Get(ctx, key)
+	if err != nil || entry == nil {
+		return nil, err
+	}
+	old, err := DecodeManifest(entry.Value)
+	if err != nil {
+		// A damaged version must not stop new ones.
+		return nil, nil
+	}
+	writes = append(writes, store.Write{Key: key, Delete: true})
+	for _, chunk := range old.Chunks[:min(len(old.Chunks), maxRemovals)] {
+		writes = append(writes, store.Write{Key: chunk, Delete: true})
+	}
+	return writes, nil
+}
+
 func (a *applier) manifest(current *Snapshot) *Manifest {
 	c, old := a.change, current.manifest
 	next := &Manifest{
--- a/internal/platform/etcd/client.go
+++ b/internal/platform/etcd/client.go
@@ -18,9 +18,8 @@
 
 const (
 	defaultPingInterval = 10 * time.Second
-	// pingTimeout is how long a connection may leave a ping unanswered.
-	pingTimeout = 5 * time.Second
-	dialTimeout = 3 * time.Second
+	defaultPingTimeout  = 5 * time.Second
+	dialTimeout         = 3 * time.Second
 )
 
 // Config configures a Client.
@@ -33,8 +32,11 @@
 	// apart. Empty means "agateramp".
 	Name string
 	// PingInterval is how long a connection may be silent before it is pinged. It
-	// bounds how long a watch waits on a dead connection. Empty means 10 s.
+	// bounds, with PingTimeout, how long a watch waits on a dead connection. Empty
+	// means 10 s.
 	PingInterval time.Duration
+	// PingTimeout is how long a ping may stay unanswered. Empty means 5 s.
+	PingTimeout time.Duration
 }
 
 type endpoint struct {
@@ -66,6 +68,9 @@
 	if cfg.PingInterval == 0 {
 		cfg.PingInterval = defaultPingInterval
 	}
+	if cfg.PingTimeout == 0 {
+		cfg.PingTimeout = defaultPingTimeout
+	}
 	protocols, scheme := new(http.Protocols), "https"
 	protocols.SetHTTP2(true)
 	if cfg.TLS == nil {
@@ -76,7 +81,7 @@
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig: cfg.TLS,
 		Protocols:       protocols,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: cfg.PingInterval, PingTimeout: pingTimeout},
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: cfg.PingInterval, PingTimeout: cfg.PingTimeout},
 	}}
 	client := &http.Client{Transport: c.transport}
 	for _, address := range cfg.Endpoints {
--- a/internal/standin/etcdserver/server.go
+++ b/internal/standin/etcdserver/server.go
@@ -64,6 +64,9 @@
 // Faults returns the served store.
 func (s *Server) Faults() *Faults { return s.faults }
 
+// Handler returns the handler of all that the server serves.
+func (s *Server) Handler() http.Handler { return s.http.Handler }
+
 // Serve accepts connections until ctx ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) (err error) {
 	defer func() { err = errors.WithMessage(err, "store stand-in") }()
