platform: Bound the history of the memory store by bytes

Cause: with a full history each write copied 100,000 events, and a benchmark of writes did not finish in 50 s; large values kept the history without a bound. Change: history is trimmed once for a quarter of it, and to 64 MiB of values; the store tests fail when goroutines are left; flags for TLS to the store.

--- a/internal/cli/commands/config.go
+++ b/internal/cli/commands/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"os"
@@ -54,13 +55,16 @@
 type storeFlags struct {
 	Store   []string      `help:"Addresses of the store, host:port." default:"127.0.0.1:2379" env:"AGATERAMP_STORE"`
 	TLS     bool          `help:"Use TLS with the system's certificate authorities." name:"store-tls"`
+	CA      string        `help:"File of certificate authorities of the store; implies TLS." name:"store-ca" type:"path"`
+	Cert    string        `help:"File of the client certificate; implies TLS." name:"store-cert" type:"path"`
+	Key     string        `help:"File of the client key." name:"store-key" type:"path"`
 	Timeout time.Duration `help:"How long to try." default:"30s"`
 }
 
 func (f *storeFlags) open() (ctx context.Context, s store.Store, end func(), err error) {
 	cfg := etcd.Config{Endpoints: f.Store, Name: "agateramp-cli"}
-	if f.TLS {
-		cfg.TLS = &tls.Config{MinVersion: tls.VersionTLS12}
+	if cfg.TLS, err = f.tls(); err != nil {
+		return nil, nil, nil, usage(err)
 	}
 	client, err := etcd.New(cfg)
 	if err != nil {
@@ -73,6 +77,31 @@
 	}, nil
 }
 
+// tls returns nil when no flag asks for TLS.
+func (f *storeFlags) tls() (c *tls.Config, err error) {
+	if !f.TLS && f.CA == "" && f.Cert == "" {
+		return nil, nil
+	}
+	c = &tls.Config{MinVersion: tls.VersionTLS12}
+	if f.CA != "" {
+		pem, err := os.ReadFile(f.CA)
+		if err != nil {
+			return nil, err
+		}
+		if c.RootCAs = x509.NewCertPool(); !c.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, errors.Errorf("%s holds no certificate", f.CA)
+		}
+	}
+	if f.Cert != "" {
+		certificate, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+		if err != nil {
+			return nil, errors.WithMessage(err, "client certificate")
+		}
+		c.Certificates = []tls.Certificate{certificate}
+	}
+	return c, nil
+}
+
 // changeFlags describe a change.
 type changeFlags struct {
 	Reason   string `help:"Why the change is made; kept in the audit trail."`
--- a/internal/cli/commands/config_test.go
+++ b/internal/cli/commands/config_test.go
@@ -99,6 +99,8 @@
 		{append([]string{"audit"}, in...), exitOK, `"field":"/hosts/h1/drain","new":true`},
 		{[]string{"config", "check", "--folder", filepath.Join(dir, "none")}, exitUsage, "no such file"},
 		{[]string{"config", "history", "--store", "nowhere"}, exitUsage, "nowhere"},
+		{append([]string{"config", "history", "--store-ca", filepath.Join(dir, "10-base.json")}, in...), exitUsage, "holds no certificate"},
+		{append([]string{"config", "history", "--store-cert", filepath.Join(dir, "none")}, in...), exitUsage, "client certificate"},
 		{[]string{"config", "history", "--timeout", "x"}, exitUsage, "timeout"},
 	}...)
 	for _, s := range steps {
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -18,14 +18,18 @@
 // defaultHistory holds some minutes of events at several hundred writes a second.
 const defaultHistory = 100_000
 
+// maxHistoryBytes bounds the values in the history, which are up to 1 MiB each.
+const maxHistoryBytes = 64 << 20
+
 // Config configures a Store.
 type Config struct {
 	// Now returns the time by which leases expire. Empty means real time, where
 	// leases also expire while no call is made. With another clock, a lease
 	// expires at the next call after its deadline, or at Tick.
 	Now func() time.Time
-	// MaxHistory is how many events are kept for watches that start in the past.
-	// Empty means 100,000.
+	// MaxHistory is how many events are kept for watches that start in the past;
+	// up to a quarter more may be, and fewer when their values have more than
+	// 64 MiB. Empty means 100,000.
 	MaxHistory int
 }
 
@@ -41,6 +45,9 @@
 	entries   map[string]*store.Entry
 	keys      []string
 	history   []store.Event
+	// historyBytes is the sum of the values in history.
+	historyBytes int
+
 	leases    map[store.LeaseID]*lease
 	lastLease store.LeaseID
 	timer     *time.Timer
@@ -185,8 +192,12 @@
 	}
 	s.revision = next
 	s.history = append(s.history, events...)
-	if over := len(s.history) - s.maxHistory; over > 0 {
-		s.compact(s.history[over].Entry.ModRevision)
+	for _, e := range events {
+		s.historyBytes += len(e.Entry.Value)
+	}
+	// A compaction copies the history, so it is done once for a quarter of it.
+	if len(s.history) > s.maxHistory+s.maxHistory/4 || s.historyBytes > maxHistoryBytes+maxHistoryBytes/4 {
+		s.shorten()
 	}
 	for w := range s.watchers {
 		if slices.ContainsFunc(events, w.follows) {
@@ -198,12 +209,30 @@
 	}
 }
 
+// shorten compacts the history to its bounds. The newest event always stays.
+func (s *Store) shorten() {
+	first, size := len(s.history), 0
+	for first > 0 && len(s.history)-first < s.maxHistory {
+		size += len(s.history[first-1].Entry.Value)
+		if size > maxHistoryBytes && first < len(s.history) {
+			break
+		}
+		first--
+	}
+	if first < len(s.history) {
+		s.compact(s.history[first].Entry.ModRevision)
+	}
+}
+
 func (s *Store) compact(revision int64) {
 	if revision <= s.compacted {
 		return
 	}
 	s.compacted = revision
 	i, _ := slices.BinarySearchFunc(s.history, revision, byRevision)
+	for _, e := range s.history[:i] {
+		s.historyBytes -= len(e.Entry.Value)
+	}
 	s.history = slices.Clone(s.history[i:])
 	for w := range s.watchers {
 		w.notify()
--- a/internal/platform/memory/model_test.go
+++ b/internal/platform/memory/model_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
@@ -216,3 +217,27 @@
 		})
 	})
 }
+
+// Guards against a history that grows with the size of its values, and against
+// one whose trimming makes every write slow.
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	s, err := New(Config{MaxHistory: 1000})
+	is.NoErr(err)
+	value := make([]byte, store.MaxValueBytes)
+	for range 200 {
+		_, err = s.Txn(context.Background(), nil, []store.Write{{Key: "large", Value: value}})
+		is.NoErr(err)
+		is.True(s.historyBytes <= maxHistoryBytes+maxHistoryBytes/4)
+	}
+	compactions, last := 0, s.compacted
+	for range 10_000 {
+		_, err = s.Txn(context.Background(), nil, []store.Write{{Key: "small"}})
+		is.NoErr(err)
+		is.True(len(s.history) <= 1250)
+		if s.compacted != last {
+			compactions, last = compactions+1, s.compacted
+		}
+	}
+	is.True(compactions <= 41)
+}
--- a/internal/standin/etcdserver/contract_test.go
+++ b/internal/standin/etcdserver/contract_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"go.uber.org/goleak"
 
 	"agateramp/internal/platform/etcd"
 	"agateramp/internal/platform/memory"
@@ -17,6 +18,9 @@
 	"agateramp/internal/standin/etcdserver"
 )
 
+// TestMain guards against watches and servers that leave goroutines behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // serve starts a stand-in on a socket and returns its faults and address.
 func serve(t *testing.T) (faults *etcdserver.Faults, address string) {
 	t.Helper()
