process: Add settings, logging, metrics and certificates

Cause: every role needs checked settings, JSON line logs, counters by reason and certificate files that can be replaced while it runs. Change: strict JSON settings whose faults name file and field; go-kit logger with a rate limit for lines caused by packets; go-metrics registry served as JSON; TLS files reread when they change, chains verified without host names.

--- /dev/null
+++ b/internal/process/logging/logging.go
@@ -0,0 +1,81 @@
+// Package logging writes the log of a process as JSON lines.
+package logging
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Config configures a logger.
+type Config struct {
+	// Writer takes the lines. It must be set.
+	Writer io.Writer
+	// Process is the name of the process.
+	Process string
+	// DataCentre is the data centre of the process.
+	DataCentre string
+	// Level is debug, info, warn or error. Empty means info.
+	Level string
+}
+
+// New returns a logger whose lines carry ts, level, process and data_centre.
+func New(c Config) log.Logger {
+	logger := log.NewJSONLogger(log.NewSyncWriter(c.Writer))
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(c.Level, level.InfoValue())))
+	return log.With(logger, "ts", log.DefaultTimestampUTC, "process", c.Process, "data_centre", c.DataCentre)
+}
+
+// limitedInterval is how often a Limited logs one event at most.
+const limitedInterval = time.Second
+
+// Limited logs at most one line a second for each event, so that packets
+// cannot flood the log. The next line says how many were left out.
+type Limited struct {
+	logger log.Logger
+
+	mu     sync.Mutex
+	events map[string]*limitedEvent
+}
+
+type limitedEvent struct {
+	next       time.Time
+	suppressed int
+}
+
+// NewLimited returns a Limited that writes warnings to logger.
+func NewLimited(logger log.Logger) *Limited {
+	return &Limited{logger: logger, events: make(map[string]*limitedEvent)}
+}
+
+// Warn logs event unless it was logged within the last second. The set of
+// events must be bounded; they are reasons, not addresses.
+func (l *Limited) Warn(now time.Time, event string, keyvals ...any) {
+	suppressed, ok := l.admit(now, event)
+	if !ok {
+		return
+	}
+	line := append([]any{"event", event, "suppressed", suppressed}, keyvals...)
+	// A log line that cannot be written has no other place to go.
+	_ = level.Warn(l.logger).Log(line...)
+}
+
+func (l *Limited) admit(now time.Time, event string) (suppressed int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.events[event]
+	if e == nil {
+		e = &limitedEvent{}
+		l.events[event] = e
+	}
+	if now.Before(e.next) {
+		e.suppressed++
+		return 0, false
+	}
+	suppressed, e.suppressed = e.suppressed, 0
+	e.next = now.Add(limitedInterval)
+	return suppressed, true
+}
--- /dev/null
+++ b/internal/process/metrics/metrics.go
@@ -0,0 +1,75 @@
+// Package metrics counts what a process does and serves the figures over HTTP.
+package metrics
+
+import (
+	"net/http"
+	"sync"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"agateramp/internal/core/flow"
+)
+
+// Registry holds the metrics of one process.
+type Registry struct {
+	registry gometrics.Registry
+
+	mu      sync.RWMutex
+	reasons map[reasonKey]gometrics.Counter
+}
+
+type reasonKey struct {
+	outcome Outcome
+	reason  flow.Reason
+}
+
+// Outcome is what became of a packet that was not delivered.
+type Outcome string
+
+// The outcomes that are counted by reason, as "packets.dropped.malformed".
+const (
+	OutcomeDropped Outcome = "dropped"
+	OutcomeRefused Outcome = "refused"
+	OutcomeReset   Outcome = "reset"
+)
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{registry: gometrics.NewRegistry(), reasons: make(map[reasonKey]gometrics.Counter)}
+}
+
+// Registry returns the go-metrics registry, for packages that register their own.
+func (r *Registry) Registry() gometrics.Registry { return r.registry }
+
+// Counter returns the counter of a name, and registers it at first use.
+func (r *Registry) Counter(name string) gometrics.Counter {
+	return gometrics.GetOrRegisterCounter(name, r.registry)
+}
+
+// Gauge returns the gauge of a name, and registers it at first use.
+func (r *Registry) Gauge(name string) gometrics.Gauge {
+	return gometrics.GetOrRegisterGauge(name, r.registry)
+}
+
+// Count counts a packet that was dropped, refused or reset for a reason.
+func (r *Registry) Count(outcome Outcome, reason flow.Reason) {
+	key := reasonKey{outcome: outcome, reason: reason}
+	r.mu.RLock()
+	counter := r.reasons[key]
+	r.mu.RUnlock()
+	if counter == nil {
+		counter = r.Counter("packets." + string(outcome) + "." + string(reason))
+		r.mu.Lock()
+		r.reasons[key] = counter
+		r.mu.Unlock()
+	}
+	counter.Inc(1)
+}
+
+// ServeHTTP writes every metric as one JSON object.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	gometrics.WriteJSONOnce(r.registry, w)
+}
+
+var _ http.Handler = (*Registry)(nil)
--- /dev/null
+++ b/internal/process/settings/check.go
@@ -0,0 +1,68 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+)
+
+// checker keeps the first fault of a settings file.
+type checker struct {
+	file string
+	err  error
+}
+
+func (c *checker) require(field string, ok bool, reason string) {
+	if !ok && c.err == nil {
+		c.err = &Error{file: c.file, field: field, reason: reason}
+	}
+}
+
+func (c *checker) address(field string, address netip.AddrPort) {
+	c.require(field, address.IsValid() && address.Port() != 0, "an IP address with a port is needed")
+}
+
+func (c *checker) count(field string, value *int, fallback, limit int) {
+	if *value == 0 {
+		*value = fallback
+	}
+	c.require(field, *value > 0 && *value <= limit, fmt.Sprintf("must be from 1 to %d", limit))
+}
+
+func (c *checker) common(s *Common) {
+	c.require("name", len(s.Name) <= maxNameLength && namePattern.MatchString(s.Name),
+		fmt.Sprintf("%q is not a name of lower-case letters, digits, dots and hyphens", s.Name))
+	c.require("data_centre", s.DataCentre != "", "a data centre is needed")
+	c.address("data_address", s.DataAddress)
+	c.address("control_address", s.ControlAddress)
+	c.count("workers", &s.Workers, 1, maxWorkers)
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+	c.require("log_level", slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel),
+		"must be debug, info, warn or error")
+	c.tls(s)
+}
+
+func (c *checker) tls(s *Common) {
+	files := []string{s.TLS.CertificateFile, s.TLS.KeyFile, s.TLS.AuthorityFile}
+	empty := slices.Contains(files, "")
+	c.require("tls", !empty || s.TLS == TLS{}, "certificate_file, key_file and authority_file go together")
+	if s.TLS.Enabled() || s.AllowPlaintext {
+		return
+	}
+	const reason = "plaintext is served on loopback only; set tls or allow_plaintext"
+	c.require("control_address", s.ControlAddress.Addr().IsLoopback(), reason)
+	c.require("http_address", !s.HTTPAddress.IsValid() || s.HTTPAddress.Addr().IsLoopback(), reason)
+}
+
+func (c *checker) backend(b *Backend) {
+	if b.Mode == "" {
+		b.Mode = ModeDatagram
+	}
+	c.require("backend.mode", b.Mode == ModeDatagram || b.Mode == ModeGeneve, "must be datagram or geneve")
+	c.address("backend.address", b.Address)
+	c.count("backend.slots", &b.Slots, defaultSlots, maxSlots)
+	c.count("backend.connections", &b.Connections, defaultConnections, maxConnections)
+	c.count("backend.weight", &b.Weight, b.Slots*weightPerSlot, maxWeight)
+}
--- /dev/null
+++ b/internal/process/settings/settings_test.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+const validAgent = `{"name":"agent-1","data_centre":"sapporo-a","data_address":"127.0.0.1:6001",
+"control_address":"127.0.0.1:7001","service":"studio","backend":{"address":"127.0.0.1:5001","slots":2},
+"balancers":["127.0.0.1:7101"]}`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// Guards against defaults that differ from the documented ones.
+func TestAgentDefaults(t *testing.T) {
+	is := is.New(t)
+	a, err := LoadAgent(write(t, validAgent))
+	is.NoErr(err)
+	is.Equal(a.Workers, 1)
+	is.Equal(a.Backend.Mode, ModeDatagram)
+	is.Equal(a.Backend.Connections, 2000)
+	is.Equal(a.Backend.Weight, 2000)
+}
+
+// Guards against a role that starts with settings it misunderstood.
+func TestFaultsNameTheField(t *testing.T) {
+	const common = `"name":"b","data_centre":"sapporo-a","data_address":"127.0.0.1:1","store_endpoints":["http://127.0.0.1:2"]`
+	tests := []struct {
+		name, text, field string
+		load              func(string) error
+	}{
+		{"unknown field", `{"nam":"b"}`, "nam", loadBalancer},
+		{"wrong type", `{"workers":"two"}`, "workers", loadBalancer},
+		{"no data centre", `{"name":"b"}`, "data_centre", loadBalancer},
+		{"bad name", `{"name":"B 1"}`, "name", loadBalancer},
+		{"no control address", `{` + common + `}`, "control_address", loadBalancer},
+		{"plaintext", `{` + common + `,"control_address":"192.0.2.1:3"}`, "control_address", loadBalancer},
+		{"half of tls", `{` + common + `,"control_address":"127.0.0.1:3","tls":{"key_file":"k"}}`, "tls", loadBalancer},
+		{"log level", `{` + common + `,"control_address":"127.0.0.1:3","log_level":"loud"}`, "log_level", loadBalancer},
+		{"bind", `{` + common + `,"control_address":"127.0.0.1:3","datagram_binds":[{}]}`, "datagram_binds[0].service_address", loadBalancer},
+		{"no service", `{"name":"a","data_centre":"d","data_address":"127.0.0.1:1","control_address":"127.0.0.1:2"}`, "service", loadAgent},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var fault *Error
+			is.True(errors.As(test.load(write(t, test.text)), &fault))
+			is.Equal(fault.Field(), test.field)
+		})
+	}
+}
+
+func loadBalancer(file string) error {
+	_, err := LoadBalancer(file)
+	return err
+}
+
+func loadAgent(file string) error {
+	_, err := LoadAgent(file)
+	return err
+}
