table: Build tables from specs

Balancers and agents need one placement from one spec. Weighted rendezvous hashing with integer logarithms gives the same result on any architecture.

When no member is active, buckets are placed on the draining ones, so that the flows they still hold are found.

--- /dev/null
+++ b/internal/core/table/bound_test.go
@@ -0,0 +1,96 @@
+package table
+
+import (
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agateramp/internal/control/controlpb"
+)
+
+// fleet returns the specs of 390 services with 7,400 hosts, of which most have
+// 7 to 20 and the largest 200, and with 4 versions that differ in one host.
+func fleet() []*controlpb.TableSpec {
+	specs := make([]*controlpb.TableSpec, 390)
+	left := 7400
+	for i := range specs {
+		n := 7 + i%14
+		if i < 11 {
+			n = 200
+		}
+		if i == len(specs)-1 {
+			n = left
+		}
+		left -= n
+		members := testMembers(n, 4)
+		specs[i] = testSpec(9, members, members[1:], members, members[:n-1])
+		specs[i].ServiceId, specs[i].Service = uint32(i+1), nil
+	}
+	return specs
+}
+
+// median returns the median time of the runs.
+func median(runs int, run func()) time.Duration {
+	times := make([]time.Duration, runs)
+	for i := range times {
+		start := time.Now()
+		run()
+		times[i] = time.Since(start)
+	}
+	slices.Sort(times)
+	return times[runs/2]
+}
+
+// Guards against rebuilds that stall a balancer (bound 4 of the design).
+func TestBoundBuild(t *testing.T) {
+	if os.Getenv("AGATERAMP_BOUNDS") != "1" {
+		t.Skip("AGATERAMP_BOUNDS is not 1")
+	}
+	is := is.New(t)
+	members := testMembers(200, 4)
+	large := testSpec(4, members, members[1:], members, members[:199])
+	specs := fleet()
+	one := median(21, func() { mustBuild(t, large) })
+	all := median(5, func() {
+		for _, spec := range specs {
+			mustBuild(t, spec)
+		}
+	})
+	t.Logf("4 versions of 200 hosts: %v; 390 services with 7,400 hosts: %v", one, all)
+	is.True(one < 5*time.Millisecond)
+	is.True(all < 250*time.Millisecond)
+}
+
+func BenchmarkBuild200(b *testing.B) {
+	members := testMembers(200, 4)
+	spec := testSpec(4, members, members[1:], members, members[:199])
+	b.ReportAllocs()
+	for b.Loop() {
+		mustBuild(b, spec)
+	}
+}
+
+func BenchmarkBuildFleet(b *testing.B) {
+	specs := fleet()
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, spec := range specs {
+			mustBuild(b, spec)
+		}
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	table := mustBuild(b, testSpec(1, testMembers(200, 4)))
+	b.ReportAllocs()
+	var hash uint64
+	for b.Loop() {
+		hash += 0x9e3779b97f4a7c15
+		if len(table.Route(hash).Hops) == 0 {
+			b.Fatal("no hops")
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/table/table_test.go
@@ -0,0 +1,207 @@
+package table
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+)
+
+// testMembers returns n members of equal weight over the given data centres.
+func testMembers(n, centres int) []*controlpb.Member {
+	members := make([]*controlpb.Member, n)
+	for i := range members {
+		members[i] = &controlpb.Member{
+			Host:           fmt.Sprintf("host-%d", i),
+			Address:        fmt.Sprintf("127.1.%d.%d:9000", i/250, i%250+1),
+			ControlAddress: fmt.Sprintf("127.1.%d.%d:9001", i/250, i%250+1),
+			DataCentre:     fmt.Sprintf("centre-%d", i%centres),
+			Weight:         1000,
+		}
+	}
+	return members
+}
+
+// testSpec returns a spec whose versions have the given members, newest first.
+func testSpec(newest uint64, versions ...[]*controlpb.Member) *controlpb.TableSpec {
+	spec := &controlpb.TableSpec{ServiceId: 7, Service: &controlpb.Service{Id: 7}}
+	for i, members := range versions {
+		spec.Versions = append(spec.Versions, &controlpb.TableVersion{Version: newest - uint64(i), Members: members})
+	}
+	return spec
+}
+
+func mustBuild(t testing.TB, spec *controlpb.TableSpec) *Table {
+	t.Helper()
+	table, err := Build(spec)
+	is.New(t).NoErr(err)
+	return table
+}
+
+// Guards against logarithms that are off, which would bias all weights.
+func TestDrawIsLogarithm(t *testing.T) {
+	is := is.New(t)
+	var sum float64
+	for b := range 100_000 {
+		d := float64(draw(12345, b)) / (1 << drawBits)
+		h := mix(12345+uint64(b+1)*0x9e3779b97f4a7c15) | 1
+		want := 64 - math.Log2(float64(h))
+		is.True(math.Abs(d-want) <= 1e-3*want+1e-6) // relative error of the interpolation
+		sum += d
+	}
+	is.True(math.Abs(sum/100_000*math.Ln2-1) < 0.02) // mean of an exponential variable
+}
+
+// Guards against a placement that does not follow the weights.
+func TestBucketsFollowWeights(t *testing.T) {
+	is := is.New(t)
+	var heavy int
+	for service := range 100 {
+		members := testMembers(8, 4)
+		members[0].Weight = 4000
+		spec := testSpec(1, members)
+		spec.ServiceId, spec.Service = uint32(service+1), nil
+		v := mustBuild(t, spec).versions[0]
+		for b := range v.first {
+			if v.first[b] == 0 {
+				heavy++
+			}
+			is.True(v.members[v.first[b]].DataCentre != v.members[v.second[b]].DataCentre)
+		}
+	}
+	share := float64(heavy) / (100 * Buckets)
+	is.True(math.Abs(share-4.0/11) < 0.01)
+}
+
+// Guards against paths that loop, repeat a hop or miss the first choice of a version.
+func TestPathMergesEqualHosts(t *testing.T) {
+	is := is.New(t)
+	a, b := testMembers(4, 2), testMembers(5, 2)
+	table := mustBuild(t, testSpec(9, b, b, a, b))
+	is.Equal(table.Version(), uint64(9))
+	is.Equal(table.OldestVersion(), uint64(6))
+	var long int
+	for bucket := range uint64(Buckets) {
+		route := table.Route(bucket)
+		is.True(len(route.Hops) == 1 || len(route.Hops) == 3)
+		is.Equal(route.Hops[len(route.Hops)-1].RoleVersion, uint64(6))
+		if len(route.Hops) == 3 {
+			long++
+			is.Equal(route.Hops[0].RoleVersion, uint64(8))
+			is.Equal(route.Hops[1].RoleVersion, uint64(7))
+			is.Equal(route.Hops[0].Address, route.Hops[2].Address)
+		}
+		is.Equal(table.AppendPath(nil, bucket, 8), []flow.Hop{{Address: route.Hops[0].Address, RoleVersion: 8}})
+		is.True(len(table.AppendDirectory(nil, bucket)) >= 2)
+	}
+	is.True(long > 0)
+}
+
+// Guards against flows that cannot be found once every host of a service drains.
+func TestDrainingHosts(t *testing.T) {
+	is := is.New(t)
+	members := testMembers(3, 1)
+	members[0].Draining = true
+	table := mustBuild(t, testSpec(1, members))
+	for bucket := range uint64(Buckets) {
+		is.True(table.Route(bucket).Hops[0].Address != table.Members()[0].Address)
+		is.True(table.Route(bucket).SecondChoice != table.Members()[0].Address)
+	}
+	members[1].Draining, members[2].Weight = true, 0
+	table = mustBuild(t, testSpec(1, members))
+	is.Equal(len(table.Route(1).Hops), 1)
+	table = mustBuild(t, testSpec(1, nil))
+	is.Equal(len(table.Route(1).Hops), 0)
+	is.Equal(table.Next(1, func(netip.AddrPort) bool { return false }), nil)
+	table = mustBuild(t, testSpec(1, testMembers(1, 1)))
+	is.Equal(table.Route(1).SecondChoice, netip.AddrPort{})
+}
+
+// Guards against witnesses that differ between agents or repeat.
+func TestNextFollowsOrder(t *testing.T) {
+	is := is.New(t)
+	table := mustBuild(t, testSpec(1, testMembers(6, 3)))
+	seen := make(map[netip.AddrPort]bool)
+	for i := range 6 {
+		m := table.Next(99, func(a netip.AddrPort) bool { return seen[a] })
+		switch i {
+		case 0:
+			is.Equal(m.Address, table.Route(99).Hops[0].Address)
+		case 1:
+			is.Equal(m.Address, table.Route(99).SecondChoice)
+		}
+		is.True(!seen[m.Address])
+		seen[m.Address] = true
+	}
+	is.Equal(table.Next(99, func(a netip.AddrPort) bool { return seen[a] }), nil)
+}
+
+// Guards against specs that would make two processes disagree being accepted.
+func TestBuildRejects(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(spec *controlpb.TableSpec)
+	}{
+		{"no service id", func(s *controlpb.TableSpec) { s.ServiceId = 0 }},
+		{"other service", func(s *controlpb.TableSpec) { s.Service.Id = 8 }},
+		{"no versions", func(s *controlpb.TableSpec) { s.Versions = nil }},
+		{"five versions", func(s *controlpb.TableSpec) { *s = *testSpec(9, nil, nil, nil, nil, nil) }},
+		{"gap", func(s *controlpb.TableSpec) { s.Versions[1].Version = 3 }},
+		{"version 0", func(s *controlpb.TableSpec) { *s = *testSpec(1, nil, nil) }},
+		{"no host name", func(s *controlpb.TableSpec) { s.Versions[0].Members[0].Host = "" }},
+		{"bad address", func(s *controlpb.TableSpec) { s.Versions[0].Members[0].Address = "127.0.0.1" }},
+		{"bad control address", func(s *controlpb.TableSpec) { s.Versions[0].Members[0].ControlAddress = "x" }},
+		{"host twice", func(s *controlpb.TableSpec) { s.Versions[0].Members[0].Host = "host-1" }},
+		{"address twice", func(s *controlpb.TableSpec) {
+			s.Versions[0].Members[0].Address = s.Versions[0].Members[1].Address
+		}},
+		{"weight", func(s *controlpb.TableSpec) { s.Versions[0].Members[0].Weight = maxWeight + 1 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			spec := testSpec(5, testMembers(3, 1), testMembers(3, 1))
+			tt.change(spec)
+			_, err := Build(spec)
+			is.New(t).True(err != nil)
+		})
+	}
+}
+
+// Guards against small changes that move many buckets.
+func TestCompareSmallChange(t *testing.T) {
+	is := is.New(t)
+	before, after := testMembers(10, 2), testMembers(10, 2)
+	after[3].Weight = 1100
+	move, err := Compare(testSpec(1, before), testSpec(2, after))
+	is.NoErr(err)
+	is.True(move.Buckets <= 12) // 1% of the buckets in the mean
+	for _, s := range move.Hosts {
+		is.Equal(s.After > s.Before, s.Host == "host-3")
+	}
+	move, err = Compare(nil, testSpec(2, after))
+	is.NoErr(err)
+	is.Equal(move.Buckets, Buckets)
+	is.Equal(len(move.Hosts), 10)
+}
+
+// Guards against a change of the placement that would make two releases of the
+// program disagree on a table with the same version.
+func TestPlacementIsStable(t *testing.T) {
+	is := is.New(t)
+	members := testMembers(20, 4)
+	for i, m := range members {
+		m.Weight = uint32(125 * (i + 1))
+	}
+	v := mustBuild(t, testSpec(1, members)).versions[0]
+	digest := xxhash.New()
+	for b := range v.first {
+		fmt.Fprintln(digest, v.first[b], v.second[b])
+	}
+	is.Equal(digest.Sum64(), uint64(1865411871934725336))
+}
