owner: Place, deliver and report flows

The package had an API without behaviour. It now holds a sharded flow map, follows and leaves claims, decides at the end of a path, admits by slots and connections, queues, refuses, drains, keeps the directory and recovers from it.

FlowEntry gains first_packets and refused: without digests of the first packets a restarted agent cannot tell a late copy from a reused port, and without the refusal it would run work that the caller was told was not run. The new effect ReportAck replaces the implicit confirmation by the adapter, so that a witness can withhold it.

--- /dev/null
+++ b/internal/core/owner/admission.go
@@ -0,0 +1,306 @@
+package owner
+
+import (
+	"bytes"
+	"math"
+	"net/netip"
+	"sync"
+	"time"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+)
+
+const (
+	// maxQueued bounds the first packets that wait for a slot or a witness.
+	maxQueued = 4096
+	// maxParked bounds the first packets that wait for the end of recovery.
+	maxParked = 1024
+	// thousand scales loads and shares.
+	thousand = 1000
+	// drainingLoad is the load that a draining agent offers flows with.
+	drainingLoad = math.MaxUint32
+)
+
+// waiting is a first packet that is kept.
+type waiting struct {
+	header flow.Header
+	packet flow.Packet
+	token  uint32
+	// deadline is in nanoseconds since 1970.
+	deadline int64
+	// witness and sequence name the report that must be confirmed.
+	witness  netip.AddrPort
+	sequence uint64
+}
+
+// keep returns a copy of a packet and its header that outlives the call.
+func keep(h *flow.Header, p *flow.Packet, token uint32, deadline int64) *waiting {
+	w := &waiting{header: *h, packet: *p, token: token, deadline: deadline}
+	w.packet.Data = bytes.Clone(p.Data)
+	w.packet.Payload = bytes.Clone(p.Payload)
+	return w
+}
+
+// admission counts the slots and connections of the backend server and holds the
+// packets that wait. Its mutex is taken inside that of a shard, never around it.
+type admission struct {
+	mu          sync.Mutex
+	slots       int
+	connections int
+	countsSlots bool
+	// draining is set when an operator ordered it or the table excludes the host.
+	draining, ordered, excluded bool
+
+	busy, open int
+	queue      []*waiting
+	pending    []*waiting
+	parked     []*waiting
+	// deferred holds requests to witness that wait for the end of recovery.
+	deferred []ReportReceived
+
+	// area is busy capacity integrated over nanoseconds since reported.
+	area     float64
+	changed  int64
+	reported int64
+}
+
+// advance integrates the load up to now; it precedes every change of busy and open.
+func (a *admission) advance(now int64) {
+	if a.changed != 0 && now > a.changed {
+		used, _ := a.used()
+		a.area += float64(used) * float64(now-a.changed)
+	}
+	if a.reported == 0 {
+		a.reported = now
+	}
+	a.changed = max(a.changed, now)
+}
+
+// used returns the measure of load and its limit.
+func (a *admission) used() (used, limit int) {
+	if a.countsSlots {
+		return a.busy, a.slots
+	}
+	return a.open, a.connections
+}
+
+func (a *admission) free() bool {
+	return a.open < a.connections && (!a.countsSlots || a.busy < a.slots)
+}
+
+// take reserves a slot and a connection for a new flow.
+func (a *admission) take(now int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining || len(a.queue) > 0 || !a.free() {
+		return false
+	}
+	a.reserve(now)
+	return true
+}
+
+func (a *admission) reserve(now int64) {
+	a.advance(now)
+	a.open++
+	if a.countsSlots {
+		a.busy++
+	}
+}
+
+// adopt counts a flow that the backend server already has.
+func (a *admission) adopt(now int64, busy bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	a.open++
+	if busy {
+		a.busy++
+	}
+}
+
+// release gives back a connection, and a slot when the flow held one.
+func (a *admission) release(now int64, busy bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	a.open--
+	if busy {
+		a.busy--
+	}
+}
+
+// answered gives back a slot and keeps the connection.
+func (a *admission) answered(now int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	a.busy--
+}
+
+// enqueue keeps a first packet until a slot is free. It reports false when the
+// queue is full.
+func (a *admission) enqueue(w *waiting) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining || len(a.queue) >= maxQueued {
+		return false
+	}
+	a.queue = append(a.queue, w)
+	return true
+}
+
+// next returns the first queued packet with a slot reserved for it, or nil.
+func (a *admission) next(now int64) *waiting {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining || len(a.queue) == 0 || !a.free() || a.queue[0].deadline <= now {
+		return nil
+	}
+	w := a.queue[0]
+	a.queue = a.queue[1:]
+	a.reserve(now)
+	return w
+}
+
+// await keeps a first packet until its witness confirms it.
+func (a *admission) await(w *waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pending = append(a.pending, w)
+}
+
+// cancel forgets a flow that waits for its witness and returns its packet, or nil.
+func (a *admission) cancel(key flow.Key) *waiting {
+	found := a.takePending(func(w *waiting) bool { return w.packet.Key == key })
+	if len(found) == 0 {
+		return nil
+	}
+	return found[0]
+}
+
+// takePending removes and returns the packets awaiting a witness that match.
+func (a *admission) takePending(match func(w *waiting) bool) (found []*waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	kept := a.pending[:0]
+	for _, w := range a.pending {
+		if match(w) {
+			found = append(found, w)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(a.pending[len(kept):])
+	a.pending = kept
+	return found
+}
+
+// overdue removes and returns the queued packets whose deadline passed.
+func (a *admission) overdue(now int64) (found []*waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for len(a.queue) > 0 && a.queue[0].deadline <= now {
+		found = append(found, a.queue[0])
+		a.queue = a.queue[1:]
+	}
+	return found
+}
+
+// park keeps a first packet until the end of recovery.
+func (a *admission) park(w *waiting) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.parked) >= maxParked {
+		return false
+	}
+	a.parked = append(a.parked, w)
+	return true
+}
+
+func (a *admission) deferReport(from netip.AddrPort, r *controlpb.FlowReport) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.deferred) < maxParked {
+		a.deferred = append(a.deferred, ReportReceived{Peer: from, Report: r})
+	}
+}
+
+func (a *admission) takeDeferred() (deferred []ReportReceived) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	deferred, a.deferred = a.deferred, nil
+	return deferred
+}
+
+func (a *admission) unpark() (parked []*waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	parked, a.parked = a.parked, nil
+	return parked
+}
+
+// drain starts or ends draining by order and returns the packets that were queued.
+func (a *admission) drain(on bool) (queued []*waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ordered = on
+	return a.updateDraining()
+}
+
+// exclude starts or ends draining by the table, which leaves out a host that
+// drains, and returns the packets that were queued.
+func (a *admission) exclude(on bool) (queued []*waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.excluded = on
+	return a.updateDraining()
+}
+
+func (a *admission) updateDraining() (queued []*waiting) {
+	a.draining = a.ordered || a.excluded
+	if a.draining {
+		queued, a.queue = a.queue, nil
+	}
+	return queued
+}
+
+func (a *admission) isDraining() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.draining
+}
+
+// load returns the load in thousandths of the limit, queued work included.
+func (a *admission) load() uint32 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining {
+		return drainingLoad
+	}
+	used, limit := a.used()
+	return uint32((used + len(a.queue)) * thousand / limit)
+}
+
+// heartbeat returns the present load and starts a new period of the busy share.
+func (a *admission) heartbeat(now int64) *controlpb.Heartbeat {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	used, limit := a.used()
+	share := float64(used) / float64(limit)
+	if now > a.reported {
+		share = a.area / float64(now-a.reported) / float64(limit)
+	}
+	a.area, a.reported = 0, now
+	return &controlpb.Heartbeat{
+		Busy:      uint32(max(used, 0)),
+		Queued:    uint32(len(a.queue)),
+		OpenFlows: uint32(max(a.open, 0)),
+		BusyShare: uint32(min(max(share, 0), 1)*thousand + 0.5),
+		Draining:  a.draining,
+	}
+}
+
+// nanoseconds returns the time of a deadline after now.
+func nanoseconds(now int64, after time.Duration) int64 { return now + int64(after) }
--- /dev/null
+++ b/internal/core/owner/directory.go
@@ -0,0 +1,255 @@
+package owner
+
+import (
+	"net/netip"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+	"agateramp/internal/core/table"
+)
+
+// maxEntries bounds a report; an entry takes up to 120 bytes of a frame of 1 MB.
+const maxEntries = 4096
+
+// reportFlow has the directory hosts of a flow told what this agent knows of it.
+// The shard of the entry is locked. The view is read here, since the scan for a
+// new table version may have passed this shard already.
+func (o *Owner) reportFlow(e *entry) {
+	var buffer [2 * flow.MaxPath]netip.AddrPort
+	hosts := o.view.Load().table.AppendDirectory(buffer[:0], e.hash)
+	o.peers.enqueue(ref{key: e.key, hash: e.hash}, o.self, hosts)
+}
+
+// flush sends the entries that are due to the peer at address, or to all peers
+// when it is not valid.
+func (c *call) flush(address netip.AddrPort) {
+	for _, b := range c.owner.peers.due(address) {
+		for i := range b.reports() {
+			refs := b.refs[min(i*maxEntries, len(b.refs)):min((i+1)*maxEntries, len(b.refs))]
+			r := &controlpb.FlowReport{
+				Sequence: b.first + uint64(i),
+				Entries:  make([]*controlpb.FlowEntry, 0, len(refs)),
+				Complete: b.full && i == b.reports()-1,
+				Version:  c.view.table.Version(),
+			}
+			for _, f := range refs {
+				r.Entries = append(r.Entries, c.describe(f))
+			}
+			c.emit(&Report{To: b.to, Report: r})
+		}
+	}
+}
+
+// describe returns the directory entry of a flow as it is now.
+func (c *call) describe(f ref) *controlpb.FlowEntry {
+	s := c.owner.flows.shard(f.hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.find(f.hash, &f.key)
+	if e == nil || !e.own() && e.state != stateRemote {
+		return &controlpb.FlowEntry{Key: encodeKey(f.key), Owner: encodeAddress(c.owner.self), Ended: true}
+	}
+	return c.entryMessage(e)
+}
+
+func (c *call) entryMessage(e *entry) *controlpb.FlowEntry {
+	m := &controlpb.FlowEntry{
+		Key:       encodeKey(e.key),
+		Owner:     encodeAddress(c.owner.self),
+		LocalPort: uint32(e.port),
+		Ended:     e.state == stateEnded || e.has(flagOver) && e.state == stateRemote,
+		Refused:   e.state == stateRefused || e.has(flagRefused) && e.state == stateRemote,
+	}
+	if e.state == stateRemote {
+		m.Owner = encodeAddress(c.owner.hosts.address(e.host))
+	}
+	for _, token := range e.tokens {
+		if token != 0 {
+			m.FirstPackets = append(m.FirstPackets, token)
+		}
+	}
+	return m
+}
+
+// witness returns the peer that must confirm a non-idempotent flow: the second
+// choice, or the first when this agent is the second. A peer without a stream for
+// a second is passed over. It reports false when there is no other host.
+func (c *call) witness(hash uint64) (address netip.AddrPort, ok bool) {
+	t := c.view.table
+	skipped := func(a netip.AddrPort) bool { return a == c.owner.self || c.owner.peers.dead(a, c.now) }
+	if second := t.Route(hash).SecondChoice; second.IsValid() && !skipped(second) {
+		return second, true
+	}
+	if m := t.Next(hash, skipped); m != nil {
+		return m.Address, true
+	}
+	// All others are unreachable, which does not make the flow safe to run.
+	alone := true
+	for i := range t.Members() {
+		alone = alone && t.Members()[i].Address == c.owner.self
+	}
+	return netip.AddrPort{}, !alone
+}
+
+// askWitness reports a flow to its witness at once. Without a stream the report
+// follows when there is one.
+func (c *call) askWitness(e *entry, w *waiting) {
+	sequence, ok := c.owner.peers.next(w.witness)
+	if !ok {
+		return
+	}
+	w.sequence = sequence
+	c.emit(&Report{To: w.witness, Report: &controlpb.FlowReport{
+		Sequence: sequence,
+		Entries:  []*controlpb.FlowEntry{c.entryMessage(e)},
+	}})
+}
+
+// reportReceived takes directory entries of a peer.
+func (c *call) reportReceived(from netip.AddrPort, r *controlpb.FlowReport) {
+	if c.view == nil {
+		return
+	}
+	if r.GetVersion() == 0 && c.owner.recovering.Load() {
+		// A witness that lost its directory cannot tell new work from a copy yet.
+		c.owner.admission.deferReport(from, r)
+		return
+	}
+	recovers := c.owner.recovering.Load() || !c.owner.peers.hasReported(from)
+	confirmed := true
+	var contradicted, stale []*controlpb.FlowEntry
+	for _, m := range r.GetEntries() {
+		key, err := decodeKey(m.GetKey())
+		if err != nil {
+			continue
+		}
+		owner, err := decodeAddress(m.GetOwner())
+		if err != nil {
+			continue
+		}
+		if owner == c.owner.self {
+			if answer := c.recover(key, m, recovers); answer != nil {
+				stale = append(stale, answer)
+			}
+			continue
+		}
+		if answer := c.learn(key, owner, m); answer != nil {
+			contradicted = append(contradicted, answer)
+			confirmed = r.GetVersion() != 0
+		}
+	}
+	if answers := append(contradicted, stale...); len(answers) > 0 {
+		if sequence, ok := c.owner.peers.next(from); ok {
+			c.emit(&Report{To: from, Report: &controlpb.FlowReport{
+				Sequence: sequence, Entries: answers, Version: c.view.table.Version(),
+			}})
+		}
+	}
+	if confirmed {
+		c.emit(&ReportAck{To: from, Sequence: r.GetSequence()})
+	}
+	if r.GetComplete() {
+		c.owner.peers.markReported(from, c.now)
+		c.endRecovery()
+	}
+}
+
+// learn records that another host has a flow. It returns the entry that speaks
+// against it, or nil.
+func (c *call) learn(key flow.Key, owner netip.AddrPort, m *controlpb.FlowEntry) *controlpb.FlowEntry {
+	hash := key.Hash()
+	s := c.owner.flows.shard(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.find(hash, &key)
+	if e != nil && e.expired(c.now) {
+		e = c.expire(s, e)
+	}
+	known := tokensOf(m)
+	over := m.GetEnded() || m.GetRefused()
+	switch {
+	case e == nil:
+		if m.GetEnded() && known[0] == 0 || !c.room(s) {
+			return nil
+		}
+		e = s.insert(hash, key)
+	case e.state == stateRemote:
+		same := c.owner.hosts.address(e.host) == owner
+		if over && !same {
+			return nil
+		}
+		if !same && !c.view.idempotent && known[0] != 0 && known[0] == e.tokens[0] ||
+			e.tokens.earlier(known[0]) {
+			return c.entryMessage(e)
+		}
+	case e.state == statePending || e.state == stateQueued:
+		if over && known[0] != e.tokens[0] && !known.earlier(e.tokens[0]) {
+			return nil
+		}
+		// Nothing was delivered here, so this agent can give way to the other.
+		c.yield(e)
+	case e.state == stateOwned || e.state == stateEnded || e.state == stateRefused:
+		if over || known[0] == 0 || known[0] == e.tokens[0] || e.state == stateOwned && c.view.idempotent {
+			return c.contradiction(e, over)
+		}
+		if e.tokens.earlier(known[0]) {
+			return c.entryMessage(e)
+		}
+		if e.state == stateOwned {
+			c.closeFlow(e)
+		}
+	}
+	c.remote(e, owner, m, known)
+	return nil
+}
+
+// contradiction returns the entry of a flow of this agent that another host
+// reported as its own. Ends of flows contradict nothing.
+func (c *call) contradiction(e *entry, over bool) *controlpb.FlowEntry {
+	if over || c.view.idempotent {
+		return nil
+	}
+	return c.entryMessage(e)
+}
+
+// remote makes an entry the directory entry of another host's flow.
+func (c *call) remote(e *entry, owner netip.AddrPort, m *controlpb.FlowEntry, known tokens) {
+	e.tokens = known.merge(e.tokens)
+	e.state, e.flags, e.expires = stateRemote, 0, 0
+	e.host, e.port = c.owner.hosts.number(owner), uint16(m.GetLocalPort())
+	if m.GetEnded() {
+		e.flags |= flagOver
+	}
+	if m.GetRefused() {
+		e.flags |= flagRefused
+	}
+	if e.flags != 0 {
+		e.expires = nanoseconds(c.now, directoryLife)
+	}
+}
+
+// yield gives up a flow that was not delivered; its copies follow the other host.
+func (c *call) yield(e *entry) {
+	if e.state != statePending {
+		return
+	}
+	c.owner.admission.cancel(e.key)
+	c.owner.admission.release(c.now, e.has(flagBusy))
+	c.freed = true
+}
+
+func tokensOf(m *controlpb.FlowEntry) (t tokens) {
+	copy(t[:], m.GetFirstPackets())
+	return t
+}
+
+// directed reports whether the table names an address in the directory of a flow.
+func directed(t *table.Table, hash uint64, address netip.AddrPort) bool {
+	var buffer [2 * flow.MaxPath]netip.AddrPort
+	for _, a := range t.AppendDirectory(buffer[:0], hash) {
+		if a == address {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/owner/effect.go
+++ b/internal/core/owner/effect.go
@@ -1,6 +1,3 @@
-// Package owner decides for an agent: which packets its backend server gets,
-// which flows it takes, queues, passes on or refuses, and what it reports to
-// the directory of its peers.
 package owner
 
 import (
@@ -56,6 +53,12 @@
 		To     netip.AddrPort
 		Report *controlpb.FlowReport
 	}
+	// ReportAck confirms a report of the agent at To. It is the only cause to send
+	// a FlowReportAck: a report that contradicts the directory gets none.
+	ReportAck struct {
+		To       netip.AddrPort
+		Sequence uint64
+	}
 	// Acknowledge confirms a table version to the balancers.
 	Acknowledge struct {
 		Version     uint64
@@ -77,6 +80,7 @@
 func (*Hint) isEffect()        {}
 func (*Drop) isEffect()        {}
 func (*Report) isEffect()      {}
+func (*ReportAck) isEffect()   {}
 func (*Acknowledge) isEffect() {}
 func (*CloseFlow) isEffect()   {}
 func (*BindFlow) isEffect()    {}
--- /dev/null
+++ b/internal/core/owner/entry.go
@@ -0,0 +1,142 @@
+package owner
+
+import (
+	"time"
+
+	"agateramp/internal/core/flow"
+)
+
+// state says what the agent knows about a flow.
+type state uint8
+
+const (
+	// stateFree marks an unused slot of a shard.
+	stateFree state = iota
+	// stateOwned is a flow of this agent's backend server.
+	stateOwned
+	// statePending is a taken flow whose witness has not confirmed it yet.
+	statePending
+	// stateQueued is a flow that waits here for a slot.
+	stateQueued
+	// stateRefused is a flow that was refused as not run.
+	stateRefused
+	// stateEnded is a flow of this agent that is over; late copies are dropped.
+	stateEnded
+	// stateClaim is a flow on which another host decides.
+	stateClaim
+	// stateRemote is a directory entry: another host confirmed that it has the flow.
+	stateRemote
+)
+
+const (
+	// flagEstablished marks a flow on which both ends have been heard.
+	flagEstablished = 1 << iota
+	// flagBusy marks a flow that holds a slot.
+	flagBusy
+	// flagFinished marks a flow whose caller sent FIN or RST.
+	flagFinished
+	// flagReset marks a flow whose caller sent RST.
+	flagReset
+	// flagOver marks a directory entry whose flow ended.
+	flagOver
+	// flagRefused marks a directory entry whose flow was refused.
+	flagRefused
+	// flagRecovered marks a flow learned from a peer after a restart.
+	flagRecovered
+)
+
+// tokens holds the digests of the first packets that used a key, newest first. A
+// digest of 0 is unknown.
+type tokens [3]uint32
+
+// push returns the tokens with a new one in front.
+func (t tokens) push(token uint32) tokens { return tokens{token, t[0], t[1]} }
+
+// earlier reports whether a token belongs to a flow before the present one.
+func (t tokens) earlier(token uint32) bool { return token != 0 && (t[1] == token || t[2] == token) }
+
+// merge returns the tokens followed by the ones of old that are not among them.
+func (t tokens) merge(old tokens) tokens {
+	n := 0
+	for n < len(t) && t[n] != 0 {
+		n++
+	}
+	for _, token := range old {
+		if n == len(t) {
+			break
+		}
+		if token != 0 && token != t[0] && !t.earlier(token) {
+			t[n] = token
+			n++
+		}
+	}
+	return t
+}
+
+// entry is one flow in the flow map. Its size is part of the bound of 128 bytes
+// a flow, so it holds times as nanoseconds and hosts as indices.
+type entry struct {
+	key   flow.Key
+	state state
+	flags uint8
+	hash  uint64
+	// expires is when the entry ends, in nanoseconds since 1970; 0 is never.
+	expires int64
+	// role is the role version of the next host of a claim.
+	role   uint64
+	tokens tokens
+	// host is the index of the owner or of the next host, for claims and remotes.
+	host uint32
+	port uint16
+	// stage is the stage at which a claim passes first packets on.
+	stage flow.Stage
+}
+
+func (e *entry) has(flag uint8) bool { return e.flags&flag != 0 }
+
+func (e *entry) expired(now int64) bool { return e.expires != 0 && e.expires <= now }
+
+// own reports whether the entry is a flow of this agent, present or past.
+func (e *entry) own() bool {
+	switch e.state {
+	case stateOwned, statePending, stateRefused, stateEnded:
+		return true
+	default:
+		return false
+	}
+}
+
+// evictable reports whether the entry may be evicted when the map is full.
+func (e *entry) evictable(idempotent bool) bool {
+	switch e.state {
+	case stateClaim, stateRefused, stateEnded:
+		return true
+	case stateRemote:
+		return e.has(flagOver | flagRefused)
+	case stateOwned:
+		return idempotent && !e.has(flagEstablished)
+	default:
+		return false
+	}
+}
+
+const (
+	// claimLife is how long a claim lasts, and how long an unestablished flow may idle.
+	claimLife = 10 * time.Second
+	// linger is how long a flow lasts after the last packet that follows a FIN.
+	linger = 5 * time.Second
+	// memoryLife is how long an ended or refused flow is remembered, so that late
+	// copies of its first packet are not taken for new work.
+	memoryLife = 10 * time.Second
+	// directoryLife outlives memoryLife at the owner.
+	directoryLife = 15 * time.Second
+	// defaultIdle applies to services without idle_timeout_ms.
+	defaultIdle = 5 * time.Minute
+	// witnessDeadline is how long a witness may take to confirm a flow.
+	witnessDeadline = 200 * time.Millisecond
+	// streamGrace is how long a broken stream may stay broken before its peer
+	// counts as unreachable.
+	streamGrace = time.Second
+	// recoveryLimit is how long a started agent waits for the reports of its peers.
+	recoveryLimit = 2 * time.Second
+)
--- a/internal/core/owner/event.go
+++ b/internal/core/owner/event.go
@@ -22,7 +22,7 @@
 		Peer   netip.AddrPort
 		Report *controlpb.FlowReport
 	}
-	// ReportAcked says that Peer has applied every report up to Sequence.
+	// ReportAcked says that Peer has applied the report with Sequence.
 	ReportAcked struct {
 		Peer     netip.AddrPort
 		Sequence uint64
--- /dev/null
+++ b/internal/core/owner/events.go
@@ -0,0 +1,253 @@
+package owner
+
+import (
+	"net/netip"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+	"agateramp/internal/core/table"
+)
+
+// specReceived takes a table spec that is newer than the present one.
+func (c *call) specReceived(spec *controlpb.TableSpec) {
+	o := c.owner
+	o.specMu.Lock()
+	defer o.specMu.Unlock()
+	v, err := newView(spec)
+	old := o.view.Load()
+	if err != nil || !v.newer(old) {
+		return
+	}
+	if old == nil {
+		o.recoveryEnds = nanoseconds(max(c.now, o.started), recoveryLimit)
+	}
+	o.view.Store(v)
+	c.view = v
+	o.peers.beginTransfer(c.peersOf(spec), c.now)
+	o.acknowledged = false
+	if old != nil && old.table.ServiceID() != v.table.ServiceID() {
+		c.clear()
+		old = nil
+	}
+	if old != nil {
+		c.rereport(old.table)
+	}
+	m := v.table.Member(o.self)
+	c.offerQueued(o.admission.exclude(m == nil || !m.Active()))
+	c.emit(&Acknowledge{Version: v.table.Version()})
+}
+
+// peersOf returns the other agents of all retained versions.
+func (c *call) peersOf(spec *controlpb.TableSpec) (addresses []netip.AddrPort) {
+	for _, version := range spec.GetVersions() {
+		for _, m := range version.GetMembers() {
+			a, err := netip.ParseAddrPort(m.GetAddress())
+			if err == nil && a != c.owner.self {
+				addresses = append(addresses, a)
+			}
+		}
+	}
+	return addresses
+}
+
+// rereport reports the flows of this agent to the hosts that a new table adds to
+// their directory.
+func (c *call) rereport(old *table.Table) {
+	var before, after [2 * flow.MaxPath]netip.AddrPort
+	for i := range c.owner.flows.shards {
+		s := &c.owner.flows.shards[i]
+		s.mu.Lock()
+		s.each(func(e *entry) {
+			if !e.own() {
+				return
+			}
+			known := old.AppendDirectory(before[:0], e.hash)
+			added := c.view.table.AppendDirectory(after[:0], e.hash)
+			n := 0
+			for _, a := range added {
+				if !contains(known, a) {
+					added[n] = a
+					n++
+				}
+			}
+			c.owner.peers.enqueue(ref{key: e.key, hash: e.hash}, c.owner.self, added[:n])
+		})
+		s.mu.Unlock()
+	}
+}
+
+func contains(list []netip.AddrPort, a netip.AddrPort) bool {
+	for _, b := range list {
+		if a == b {
+			return true
+		}
+	}
+	return false
+}
+
+// clear forgets all flows, because the agent now serves another service.
+func (c *call) clear() {
+	for i := range c.owner.flows.shards {
+		s := &c.owner.flows.shards[i]
+		s.mu.Lock()
+		s.each(func(e *entry) {
+			switch e.state {
+			case stateOwned:
+				c.closeFlow(e)
+			case statePending:
+				c.yield(e)
+			}
+			s.remove(e)
+		})
+		s.mu.Unlock()
+	}
+}
+
+// acknowledge confirms the present version once its entries are transferred.
+func (c *call) acknowledge() {
+	o := c.owner
+	if c.view == nil || o.recovering.Load() {
+		return
+	}
+	o.specMu.Lock()
+	defer o.specMu.Unlock()
+	if o.acknowledged || o.view.Load() != c.view || !o.peers.transferred(c.now) {
+		return
+	}
+	o.acknowledged = true
+	c.emit(&Acknowledge{Version: c.view.table.Version(), Transferred: true})
+}
+
+// peerConnected sends a full report over a new stream: the flows of this agent
+// whose directory names the peer, and the entries that name it as the owner.
+func (c *call) peerConnected(address netip.AddrPort) {
+	o := c.owner
+	o.peers.connect(address, c.now)
+	if c.view == nil {
+		return
+	}
+	only := []netip.AddrPort{address}
+	for i := range o.flows.shards {
+		s := &o.flows.shards[i]
+		s.mu.Lock()
+		s.each(func(e *entry) {
+			if e.own() && directed(c.view.table, e.hash, address) ||
+				e.state == stateRemote && o.hosts.address(e.host) == address {
+				o.peers.enqueue(ref{key: e.key, hash: e.hash}, o.self, only)
+			}
+		})
+		s.mu.Unlock()
+	}
+	c.flush(address)
+	for _, w := range o.admission.takePending(func(w *waiting) bool { return w.witness == address }) {
+		c.askAgain(w)
+	}
+}
+
+// askAgain repeats a report to a witness whose stream is new.
+func (c *call) askAgain(w *waiting) {
+	s := c.owner.flows.shard(w.packet.Hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.find(w.packet.Hash, &w.packet.Key)
+	if e == nil || e.state != statePending || e.tokens[0] != w.token {
+		return
+	}
+	c.askWitness(e, w)
+	c.owner.admission.await(w)
+}
+
+func (c *call) peerDisconnected(address netip.AddrPort) {
+	c.owner.peers.disconnect(address, c.now)
+}
+
+// reportAcked delivers the flows that the confirmed report was about.
+func (c *call) reportAcked(from netip.AddrPort, sequence uint64) {
+	if c.view == nil {
+		return
+	}
+	c.owner.peers.confirm(from, sequence)
+	confirmed := c.owner.admission.takePending(func(w *waiting) bool {
+		return w.witness == from && w.sequence != 0 && w.sequence == sequence
+	})
+	for _, w := range confirmed {
+		s := c.owner.flows.shard(w.packet.Hash)
+		s.mu.Lock()
+		if e := s.find(w.packet.Hash, &w.packet.Key); e != nil && e.state == statePending && e.tokens[0] == w.token {
+			c.begin(e, &w.header, &w.packet)
+		}
+		s.mu.Unlock()
+	}
+	c.acknowledge()
+}
+
+func (c *call) answerSeen(key flow.Key) {
+	hash := key.Hash()
+	s := c.owner.flows.shard(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.find(hash, &key)
+	if e == nil || e.state != stateOwned || c.view == nil {
+		return
+	}
+	if !e.has(flagEstablished) {
+		e.flags |= flagEstablished
+		e.expires = nanoseconds(c.now, c.view.idle)
+	}
+	if e.has(flagBusy) {
+		e.flags &^= flagBusy
+		c.owner.admission.answered(c.now)
+		c.freed = true
+	}
+}
+
+func (c *call) portBound(key flow.Key, port uint16) {
+	hash := key.Hash()
+	s := c.owner.flows.shard(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.find(hash, &key); e != nil && e.state == stateOwned && e.port != port {
+		e.port = port
+		c.owner.reportFlow(e)
+	}
+}
+
+// drainChanged offers the flows that wait for a slot to other hosts, since a
+// draining agent starts no new work.
+func (c *call) drainChanged(on bool) {
+	c.offerQueued(c.owner.admission.drain(on))
+}
+
+func (c *call) offerQueued(queued []*waiting) {
+	for _, w := range queued {
+		c.withQueued(w, func(e *entry) { c.place(e, &w.header, &w.packet) })
+	}
+}
+
+// withQueued calls do for a queued flow whose shard it locks, and reports whether
+// the flow still waits.
+func (c *call) withQueued(w *waiting, do func(e *entry)) bool {
+	s := c.owner.flows.shard(w.packet.Hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.find(w.packet.Hash, &w.packet.Key)
+	if e == nil || e.state != stateQueued || e.tokens[0] != w.token {
+		return false
+	}
+	do(e)
+	return true
+}
+
+// startQueued takes queued flows into slots that became free. No lock is held.
+func (c *call) startQueued() {
+	for c.freed {
+		w := c.owner.admission.next(c.now)
+		if w == nil {
+			c.freed = false
+			return
+		}
+		if !c.withQueued(w, func(e *entry) { c.take(e, &w.header, &w.packet, w) }) {
+			c.owner.admission.release(c.now, c.owner.admission.countsSlots)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/owner/first.go
@@ -0,0 +1,129 @@
+package owner
+
+import (
+	"bytes"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+	"agateramp/internal/core/table"
+)
+
+const (
+	protocolTCP = 6
+
+	ipv4Version       = 4
+	ipv6HeaderSize    = 40
+	tcpSequenceOffset = 4
+)
+
+// view is what a table spec says, in the form that decisions need.
+type view struct {
+	table         *table.Table
+	idempotent    bool
+	mode          controlpb.FirstPacket
+	prefix        []byte
+	idle          time.Duration
+	queueDeadline time.Duration
+}
+
+func newView(spec *controlpb.TableSpec) (v *view, err error) {
+	t, err := table.Build(spec)
+	if err != nil {
+		return nil, err
+	}
+	s := t.Service()
+	v = &view{
+		table:         t,
+		idempotent:    s.GetIdempotent(),
+		mode:          s.GetFirstPacket(),
+		prefix:        s.GetFirstPacketPrefix(),
+		idle:          time.Duration(s.GetIdleTimeoutMs()) * time.Millisecond,
+		queueDeadline: time.Duration(s.GetQueueDeadlineMs()) * time.Millisecond,
+	}
+	if v.idle == 0 {
+		v.idle = defaultIdle
+	}
+	return v, nil
+}
+
+// newer reports whether v replaces old. Retiring a version raises the oldest
+// version and leaves the newest as it is.
+func (v *view) newer(old *view) bool {
+	if old == nil || v.table.ServiceID() != old.table.ServiceID() {
+		return true
+	}
+	if v.table.Version() != old.table.Version() {
+		return v.table.Version() > old.table.Version()
+	}
+	if v.table.OldestVersion() != old.table.OldestVersion() {
+		return v.table.OldestVersion() > old.table.OldestVersion()
+	}
+	return v.table.ConfigVersion() > old.table.ConfigVersion()
+}
+
+// first reports whether a packet can be the first of a flow.
+func (v *view) first(p *flow.Packet) bool {
+	switch v.mode {
+	case controlpb.FirstPacket_FIRST_PACKET_SYN:
+		return p.SYN
+	case controlpb.FirstPacket_FIRST_PACKET_PREFIX:
+		return bytes.HasPrefix(p.Payload, v.prefix)
+	default:
+		return true
+	}
+}
+
+// renews reports whether a first packet starts a new flow on the key of e. A SYN
+// does so only after the old flow finished. A service that takes any packet as a
+// first packet cannot tell.
+func (v *view) renews(e *entry, token uint32) bool {
+	if token == e.tokens[0] {
+		return false
+	}
+	switch v.mode {
+	case controlpb.FirstPacket_FIRST_PACKET_SYN:
+		return e.state != stateOwned || e.has(flagFinished)
+	case controlpb.FirstPacket_FIRST_PACKET_PREFIX:
+		// The first packet of an adopted flow is unknown, so a copy of it cannot
+		// be told from new work.
+		return e.tokens[0] != 0 || v.idempotent
+	default:
+		return e.state != stateOwned
+	}
+}
+
+// tokenOf returns a digest of a first packet that differs between flows that use
+// a key one after the other, and is not 0.
+func tokenOf(p *flow.Packet) uint32 {
+	token, ok := uint32(0), false
+	if p.Key.Protocol() == protocolTCP {
+		token, ok = sequenceOf(p.Data)
+	}
+	if !ok {
+		token = uint32(xxhash.Sum64(p.Payload))
+	}
+	if token == 0 {
+		return 1
+	}
+	return token
+}
+
+// sequenceOf returns the TCP sequence number of an IP packet.
+func sequenceOf(data []byte) (sequence uint32, ok bool) {
+	if len(data) == 0 {
+		return 0, false
+	}
+	offset := ipv6HeaderSize
+	if data[0]>>4 == ipv4Version {
+		offset = int(data[0]&0x0f) * 4
+	}
+	offset += tcpSequenceOffset
+	if len(data) < offset+4 {
+		return 0, false
+	}
+	return binary.BigEndian.Uint32(data[offset:]), true
+}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -1,13 +1,29 @@
+// Package owner decides for an agent: which packets its backend server gets,
+// which flows it takes, queues, passes on or refuses, and what it reports to
+// the directory of its peers.
+//
+// Locks are taken in the order spec, shard, admission, peers, hosts, and no two
+// shards are held at once.
 package owner
 
 import (
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
 )
 
+const (
+	defaultSlots       = 1
+	defaultConnections = 2000
+	defaultMaxFlows    = 200_000
+)
+
 // Config configures an Owner.
 type Config struct {
 	// Self is the data address of this agent. It must be set.
@@ -21,24 +37,159 @@
 	AnswersSeen bool
 	// MaxFlows bounds the flow map, directory entries included. Empty means 200,000.
 	MaxFlows int
-	// Started is when the process started; recovery ends 2 s later at most. It must be set.
+	// Started is when the process started. Recovery ends 2 s after that or after
+	// the first table spec, whichever is later. It must be set.
 	Started time.Time
 }
 
 // Owner holds the flow map of an agent. Its methods are safe for concurrent use.
-type Owner struct{}
+type Owner struct {
+	self       netip.AddrPort
+	started    int64
+	shardLimit int
+
+	view       atomic.Pointer[view]
+	recovering atomic.Bool
+
+	specMu sync.Mutex
+	// recoveryEnds and acknowledged are guarded by specMu.
+	recoveryEnds int64
+	acknowledged bool
+
+	flows     flowMap
+	sweepNext atomic.Uint32
+	admission admission
+	peers     peerSet
+	hosts     hostList
+}
 
 // New returns an Owner without a table; it passes and takes nothing until the
 // first SpecReceived event.
-func New(_ Config) (o *Owner, err error) { return &Owner{}, nil }
+func New(c Config) (o *Owner, err error) {
+	defer func() { err = errors.Wrap(err, "configure owner") }()
+	switch {
+	case !c.Self.IsValid():
+		return nil, errors.New("self is not set")
+	case c.Started.IsZero():
+		return nil, errors.New("started is not set")
+	case c.Slots < 0 || c.Connections < 0 || c.MaxFlows < 0:
+		return nil, errors.New("slots, connections and max flows must not be negative")
+	}
+	if c.Slots == 0 {
+		c.Slots = defaultSlots
+	}
+	if c.Connections == 0 {
+		c.Connections = defaultConnections
+	}
+	if c.MaxFlows == 0 {
+		c.MaxFlows = defaultMaxFlows
+	}
+	o = &Owner{
+		self:       c.Self,
+		started:    c.Started.UnixNano(),
+		shardLimit: (c.MaxFlows + shardCount - 1) / shardCount,
+		admission: admission{
+			slots:       c.Slots,
+			connections: c.Connections,
+			countsSlots: c.AnswersSeen,
+		},
+	}
+	o.peers.byAddress = make(map[netip.AddrPort]*peer)
+	o.recovering.Store(true)
+	return o, nil
+}
 
 // HandlePacket decides on a packet and appends what is to be done to effects.
-func (o *Owner) HandlePacket(_ time.Time, _ *flow.Header, _ *flow.Packet, effects []Effect) []Effect {
-	return effects
+func (o *Owner) HandlePacket(now time.Time, h *flow.Header, p *flow.Packet, effects []Effect) []Effect {
+	v := o.view.Load()
+	if v == nil || v.table.ServiceID() != h.ServiceID {
+		return append(effects, &Drop{Reason: flow.ReasonWrongService})
+	}
+	c := call{owner: o, now: now.UnixNano(), view: v, effects: effects}
+	s := o.flows.shard(p.Hash)
+	s.mu.Lock()
+	c.packet(s, h, p)
+	s.mu.Unlock()
+	c.startQueued()
+	return c.effects
 }
 
 // HandleEvent takes an event and appends what is to be done to effects.
-func (o *Owner) HandleEvent(_ time.Time, _ Event, effects []Effect) []Effect { return effects }
+func (o *Owner) HandleEvent(now time.Time, event Event, effects []Effect) []Effect {
+	c := call{owner: o, now: now.UnixNano(), view: o.view.Load(), effects: effects}
+	switch e := event.(type) {
+	case SpecReceived:
+		c.specReceived(e.Spec)
+	case PeerConnected:
+		c.peerConnected(e.Peer)
+	case PeerDisconnected:
+		c.peerDisconnected(e.Peer)
+	case ReportReceived:
+		c.reportReceived(e.Peer, e.Report)
+	case ReportAcked:
+		c.reportAcked(e.Peer, e.Sequence)
+	case AnswerSeen:
+		c.answerSeen(e.Key)
+	case PortBound:
+		c.portBound(e.Key, e.Port)
+	case DrainChanged:
+		c.drainChanged(e.Drain)
+	case Tick:
+		c.tick()
+	}
+	c.startQueued()
+	return c.effects
+}
 
 // Load returns the present load as a heartbeat without host and incarnation.
-func (o *Owner) Load(_ time.Time) *controlpb.Heartbeat { return &controlpb.Heartbeat{} }
+func (o *Owner) Load(now time.Time) *controlpb.Heartbeat {
+	return o.admission.heartbeat(now.UnixNano())
+}
+
+// Recovering reports whether the agent still waits for the reports of its peers.
+func (o *Owner) Recovering() bool { return o.recovering.Load() }
+
+// call is one packet or event on its way through the Owner.
+type call struct {
+	owner   *Owner
+	now     int64
+	view    *view
+	effects []Effect
+	// freed is set when a slot or connection became free.
+	freed bool
+}
+
+func (c *call) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *call) drop(reason flow.Reason) { c.emit(&Drop{Reason: reason}) }
+
+// hostList numbers the addresses of agents, so that entries stay small. Numbers
+// are never reused; agents have few addresses over the life of a process.
+type hostList struct {
+	mu      sync.Mutex
+	numbers map[netip.AddrPort]uint32
+	list    atomic.Pointer[[]netip.AddrPort]
+}
+
+func (l *hostList) number(address netip.AddrPort) uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n, ok := l.numbers[address]; ok {
+		return n
+	}
+	if l.numbers == nil {
+		l.numbers = make(map[netip.AddrPort]uint32)
+	}
+	var list []netip.AddrPort
+	if old := l.list.Load(); old != nil {
+		list = *old
+	}
+	n := uint32(len(list))
+	// Readers see the shorter list, so appending in place does not disturb them.
+	list = append(list, address)
+	l.list.Store(&list)
+	l.numbers[address] = n
+	return n
+}
+
+func (l *hostList) address(n uint32) netip.AddrPort { return (*l.list.Load())[n] }
--- /dev/null
+++ b/internal/core/owner/path.go
@@ -0,0 +1,190 @@
+package owner
+
+import (
+	"net/netip"
+
+	"agateramp/internal/core/flow"
+)
+
+// pass sends a packet to another agent, unless it was passed on too often.
+func (c *call) pass(out *flow.Header, p *flow.Packet, to netip.AddrPort) {
+	if out.Passes >= flow.MaxPasses {
+		c.drop(flow.ReasonHopLimit)
+		return
+	}
+	out.Passes++
+	c.emit(&Pass{To: to, Header: *out, Data: p.Data})
+}
+
+// setPath makes the path of a header the first choices from the newest version
+// of this agent down to a version.
+func (c *call) setPath(out *flow.Header, hash, oldest uint64) {
+	hops := c.view.table.AppendPath(out.Path[:0:flow.MaxPath], hash, oldest)
+	out.PathLen, out.Hop = len(hops), 0
+	out.Version = c.view.table.Version()
+	out.SecondChoice = c.view.table.Route(hash).SecondChoice
+	out.FirstSuspected = false
+}
+
+// pathSelf makes this agent the only hop of a path, which is where an offered
+// flow returns to.
+func (c *call) pathSelf(out *flow.Header) {
+	out.Path[0] = flow.Hop{Address: c.owner.self, RoleVersion: out.Version}
+	out.PathLen, out.Hop, out.FirstSuspected = 1, 0, false
+}
+
+// refresh rebuilds the path of a packet that an older table routed. It reports
+// whether it did.
+func (c *call) refresh(out *flow.Header, hash uint64) bool {
+	if out.PathLen > 0 && out.Version >= c.view.table.Version() {
+		return false
+	}
+	oldest := uint64(0)
+	if out.PathLen > 0 {
+		oldest = out.Path[out.PathLen-1].RoleVersion
+	}
+	suspected := out.FirstSuspected && out.PathLen > 0
+	first := out.Path[0].Address
+	c.setPath(out, hash, oldest)
+	out.FirstSuspected = suspected && out.PathLen > 0 && out.Path[0].Address == first
+	return true
+}
+
+// start returns the host at which the path of a packet begins: the first choice,
+// or the second choice when the first is suspected or unreachable.
+func (c *call) start(out *flow.Header) netip.AddrPort {
+	out.Hop = 0
+	first, second := out.Path[0].Address, out.SecondChoice
+	if !out.FirstSuspected && (first == c.owner.self || !c.owner.peers.dead(first, c.now)) {
+		return first
+	}
+	if !second.IsValid() || c.owner.peers.dead(second, c.now) {
+		return first
+	}
+	out.FirstSuspected = true
+	return second
+}
+
+// position returns the hop of the path at which this agent stands. The second
+// choice stands in for a suspected first choice.
+func (c *call) position(h *flow.Header) (hop int, ok bool) {
+	if h.Hop < h.PathLen && h.Path[h.Hop].Address == c.owner.self {
+		return h.Hop, true
+	}
+	if h.FirstSuspected && h.SecondChoice == c.owner.self {
+		return 0, true
+	}
+	for i := range h.PathLen {
+		if h.Path[i].Address == c.owner.self {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// roleOf returns the role version at which a packet reached this agent.
+func (c *call) roleOf(h *flow.Header) uint64 {
+	hop, ok := c.position(h)
+	if !ok || h.PathLen == 0 {
+		return h.Version
+	}
+	return h.Path[hop].RoleVersion
+}
+
+// aim sets the hop of a packet that follows a claim to a host. A path that does
+// not hold the host is extended down to the role version of the claim.
+func (c *call) aim(out *flow.Header, hash uint64, host netip.AddrPort, role uint64) {
+	if c.setHop(out, host) {
+		return
+	}
+	c.setPath(out, hash, role)
+	c.setHop(out, host)
+}
+
+func (c *call) setHop(out *flow.Header, host netip.AddrPort) bool {
+	for i := out.Hop; i < out.PathLen; i++ {
+		if out.Path[i].Address == host {
+			out.Hop = i
+			return true
+		}
+	}
+	return false
+}
+
+// nextHop returns the next hop of a path that can be reached, or false.
+func (c *call) nextHop(h *flow.Header, hop int) (next int, ok bool) {
+	for i := hop + 1; i < h.PathLen; i++ {
+		if a := h.Path[i].Address; a != c.owner.self && !c.owner.peers.dead(a, c.now) {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// lookUpUnknown passes on a packet in the middle of a flow that nobody here
+// knows. A recovering agent that nobody after it knows better than adopts it.
+func (c *call) lookUpUnknown(s *shard, h *flow.Header, p *flow.Packet) {
+	if h.Stage == flow.StageFinal || h.Stage == flow.StageOffer && h.Path[0].Address == c.owner.self {
+		// The second choice does not know the flow either, so this agent lost it
+		// when it restarted.
+		c.adopt(s, h, p)
+		return
+	}
+	if h.Stage == flow.StageOffer && h.PathLen > 0 {
+		out := *h
+		out.Stage = flow.StageFinal
+		c.pass(&out, p, out.Path[0].Address)
+		return
+	}
+	c.lookUp(h, p)
+}
+
+// lookUp passes a packet in the middle of a flow along its path, then to the
+// second choice, and drops it after that.
+func (c *call) lookUp(h *flow.Header, p *flow.Packet) {
+	out := *h
+	if c.refresh(&out, p.Hash) && out.PathLen > 0 {
+		if to := c.start(&out); to != c.owner.self {
+			c.pass(&out, p, to)
+			return
+		}
+	}
+	if out.Hop >= out.PathLen {
+		c.unknownFlow(&out, p)
+		return
+	}
+	hop, ok := c.position(&out)
+	if !ok {
+		// An entry led here, and the flow is gone since.
+		c.unknownFlow(&out, p)
+		return
+	}
+	if next, ok := c.nextHop(&out, hop); ok {
+		out.Hop = next
+		c.pass(&out, p, out.Path[next].Address)
+		return
+	}
+	last := out.SecondChoice
+	if out.FirstSuspected {
+		last = out.Path[0].Address
+	}
+	if !last.IsValid() || last == c.owner.self {
+		c.unknownFlow(&out, p)
+		return
+	}
+	out.Hop = out.PathLen
+	if c.owner.recovering.Load() {
+		out.Stage = flow.StageOffer
+		c.pathSelf(&out)
+	}
+	c.pass(&out, p, last)
+}
+
+// unknownFlow ends the search for a flow that nobody has.
+func (c *call) unknownFlow(h *flow.Header, p *flow.Packet) {
+	if p.Key.Protocol() == protocolTCP && !p.RST && !c.owner.recovering.Load() {
+		c.emit(&Reset{Key: p.Key, Reason: flow.ReasonUnknownFlow, Return: h.ReturnAddress, Data: p.Data})
+		return
+	}
+	c.drop(flow.ReasonUnknownFlow)
+}
--- /dev/null
+++ b/internal/core/owner/tick.go
@@ -0,0 +1,71 @@
+package owner
+
+import (
+	"net/netip"
+
+	"agateramp/internal/core/flow"
+)
+
+// tick lets deadlines pass, sweeps one shard and sends the reports that are due.
+func (c *call) tick() {
+	if c.view == nil {
+		return
+	}
+	c.endRecovery()
+	for _, w := range c.owner.admission.overdue(c.now) {
+		c.withQueued(w, func(e *entry) { c.refuse(e, &w.header, &w.packet, flow.ReasonFull) })
+	}
+	for _, w := range c.owner.admission.takePending(func(w *waiting) bool { return w.deadline <= c.now }) {
+		c.unwitnessed(w)
+	}
+	n := c.owner.sweepNext.Add(1)
+	c.sweep(&c.owner.flows.shards[n%shardCount])
+	c.flush(netip.AddrPort{})
+	c.acknowledge()
+	c.freed = true
+}
+
+// unwitnessed refuses a flow whose witness did not confirm it in time.
+func (c *call) unwitnessed(w *waiting) {
+	s := c.owner.flows.shard(w.packet.Hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.find(w.packet.Hash, &w.packet.Key)
+	if e == nil || e.state != statePending || e.tokens[0] != w.token {
+		return
+	}
+	c.owner.admission.release(c.now, e.has(flagBusy))
+	c.freed = true
+	c.refuse(e, &w.header, &w.packet, flow.ReasonNoWitness)
+}
+
+// sweep ends the entries of a shard whose time has come.
+func (c *call) sweep(s *shard) {
+	o := c.owner
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.each(func(e *entry) {
+		switch {
+		case e.expired(c.now):
+			c.expire(s, e)
+		case e.state == stateRemote && e.expires == 0:
+			// A directory entry outlives its owner by the idle timeout.
+			if o.peers.gone(o.hosts.address(e.host), c.now-int64(c.view.idle)) {
+				s.remove(e)
+			}
+		case e.has(flagRecovered|flagBusy) && e.state == stateOwned:
+			c.freeRecovered(e)
+		}
+	})
+}
+
+// freeRecovered gives back the slot of a recovered flow whose answer may have been
+// sent before the restart.
+func (c *call) freeRecovered(e *entry) {
+	if !e.has(flagBusy) || !e.has(flagRecovered) || c.now < c.owner.started+int64(recoveryLimit+claimLife) {
+		return
+	}
+	e.flags &^= flagBusy
+	c.owner.admission.answered(c.now)
+	c.freed = true
+}
