table: Place buckets in one pass over the draws

One pass now keeps the best host of each data centre, scratch memory is taken in one piece, and equal paths are found by the indices of their hosts instead of their hops.

--- a/internal/core/table/build.go
+++ b/internal/core/table/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -29,9 +30,9 @@
 		config:   spec.GetConfigVersion(),
 		versions: make([]version, len(spec.GetVersions())),
 	}
-	rows := make(map[string]*[Buckets]uint64, len(spec.GetVersions()[0].GetMembers()))
+	s := newScratch(spec)
 	for i, v := range spec.GetVersions() {
-		if err := t.versions[i].build(spec.GetServiceId(), v, rows); err != nil {
+		if err := t.versions[i].build(spec.GetServiceId(), v, s); err != nil {
 			return nil, errors.Wrapf(err, "version %d", v.GetVersion())
 		}
 	}
@@ -62,9 +63,50 @@
 	return nil
 }
 
-// build places the buckets of one version. The rows of draws are shared between
-// versions, since they depend on the host alone.
-func (v *version) build(service uint32, in *controlpb.TableVersion, rows map[string]*[Buckets]uint64) error {
+// scratch is the memory of one build. The draws depend on the host alone, so the
+// versions of a spec share them.
+type scratch struct {
+	byHost        map[string]*[Buckets]uint64
+	free          [][Buckets]uint64
+	zones         []zoneBest
+	first, second zoneBest
+}
+
+func newScratch(spec *controlpb.TableSpec) *scratch {
+	n := len(spec.GetVersions()[0].GetMembers()) + 1
+	return &scratch{
+		byHost: make(map[string]*[Buckets]uint64, n),
+		free:   make([][Buckets]uint64, n),
+		zones:  make([]zoneBest, 0, 4),
+	}
+}
+
+// row returns the draws of a host.
+func (s *scratch) row(host string, seed uint64) *[Buckets]uint64 {
+	if row := s.byHost[host]; row != nil {
+		return row
+	}
+	if len(s.free) == 0 {
+		s.free = make([][Buckets]uint64, 8)
+	}
+	row := &s.free[0]
+	s.free = s.free[1:]
+	for b := range row {
+		row[b] = draw(seed, b)
+	}
+	s.byHost[host] = row
+	return row
+}
+
+// appendZone appends an empty zone.
+func (s *scratch) appendZone(zones []zoneBest) []zoneBest {
+	zones = append(zones, zoneBest{})
+	zones[len(zones)-1].reset()
+	return zones
+}
+
+// build places the buckets of one version.
+func (v *version) build(service uint32, in *controlpb.TableVersion, s *scratch) error {
 	if len(in.GetMembers()) > maxMembers {
 		return errors.Errorf("%d members, want at most %d", len(in.GetMembers()), maxMembers)
 	}
@@ -79,17 +121,9 @@
 	for _, i := range v.eligible {
 		m := &v.members[i]
 		v.seeds[i], v.inverses[i] = seedOf(service, m.Host), inverseOf(m.Weight)
-		row := rows[m.Host]
-		if row == nil {
-			row = new([Buckets]uint64)
-			for b := range row {
-				row[b] = draw(v.seeds[i], b)
-			}
-			rows[m.Host] = row
-		}
-		draws[i] = row
+		draws[i] = s.row(m.Host, v.seeds[i])
 	}
-	v.place(draws)
+	v.place(s, draws)
 	return nil
 }
 
@@ -169,91 +203,93 @@
 	}
 }
 
+// zoneBest holds the best host of one data centre for every bucket.
+type zoneBest struct {
+	score [Buckets]uint64
+	host  [Buckets]uint16
+}
+
+func (z *zoneBest) reset() {
+	for b := range z.score {
+		z.score[b], z.host[b] = ^uint64(0), none
+	}
+}
+
 // place selects the first and second choice of every bucket. The second choice
 // is the best host of another data centre than the first, or the next best host
 // when there is one data centre.
-func (v *version) place(draws []*[Buckets]uint64) {
-	v.first, v.second = new([Buckets]uint16), new([Buckets]uint16)
-	var best [Buckets]uint64
-	fill(&best, v.first)
+func (v *version) place(s *scratch, draws []*[Buckets]uint64) {
+	numbers := make(map[string]int)
+	zones := s.zones[:0]
 	for _, i := range v.eligible {
-		row, inverse := draws[i], v.inverses[i]
+		name := v.members[i].DataCentre
+		number, ok := numbers[name]
+		if !ok {
+			number = len(zones)
+			numbers[name] = number
+			zones = s.appendZone(zones)
+		}
+		zone, row, inverse := &zones[number], draws[i], v.inverses[i]
 		for b := range row {
-			if s := score(row[b], inverse); s < best[b] {
-				best[b], v.first[b] = s, i
+			if sc := score(row[b], inverse); sc < zone.score[b] {
+				zone.score[b], zone.host[b] = sc, i
 			}
 		}
 	}
-	zones := v.zones()
-	fill(&best, v.second)
-	var firstZone [Buckets]uint16
-	for b, i := range v.first {
-		if i != none {
-			firstZone[b] = zones[i]
-		}
+	if len(zones) == 1 {
+		zones = s.appendZone(zones)
+		v.nextBest(draws, &zones[0], &zones[1])
 	}
-	for _, i := range v.eligible {
-		row, inverse, zone := draws[i], v.inverses[i], zones[i]
-		for b := range row {
-			if zone == firstZone[b] {
+	first, second := &s.first, &s.second
+	first.reset()
+	second.reset()
+	for i := range zones {
+		zone := &zones[i]
+		for b, sc := range zone.score {
+			if sc < first.score[b] {
+				second.score[b], second.host[b] = first.score[b], first.host[b]
+				first.score[b], first.host[b] = sc, zone.host[b]
 				continue
 			}
-			if s := score(row[b], inverse); s < best[b] {
-				best[b], v.second[b] = s, i
+			if sc < second.score[b] {
+				second.score[b], second.host[b] = sc, zone.host[b]
 			}
 		}
 	}
+	v.first, v.second = first.host, second.host
+	s.zones = zones
 }
 
-func fill(best *[Buckets]uint64, choice *[Buckets]uint16) {
-	for b := range best {
-		best[b], choice[b] = ^uint64(0), none
-	}
-}
-
-// zones numbers the data centres of the eligible members. When all are in one
-// data centre, each member counts as its own, so that the second choice is the
-// next best host.
-func (v *version) zones() []uint16 {
-	zones := make([]uint16, len(v.members))
-	numbers := make(map[string]uint16)
+// nextBest sets next to the best hosts other than those in best.
+func (v *version) nextBest(draws []*[Buckets]uint64, best, next *zoneBest) {
 	for _, i := range v.eligible {
-		name := v.members[i].DataCentre
-		if _, ok := numbers[name]; !ok {
-			numbers[name] = uint16(len(numbers))
+		row, inverse := draws[i], v.inverses[i]
+		for b := range row {
+			if s := score(row[b], inverse); s < next.score[b] && i != best.host[b] {
+				next.score[b], next.host[b] = s, i
+			}
 		}
-		zones[i] = numbers[name]
-	}
-	if len(numbers) > 1 {
-		return zones
 	}
-	for _, i := range v.eligible {
-		zones[i] = i
-	}
-	return zones
 }
 
 // compile fills in the routes. Equal paths share memory: at rest most buckets of
 // a host have the same path.
 func (t *Table) compile() {
-	type path struct {
-		hops [flow.MaxPath]flow.Hop
-		n    int
-	}
 	t.routes = make([]Route, Buckets)
-	shared := make(map[path][]flow.Hop)
+	shared := make(map[[flow.MaxPath]uint16][]flow.Hop, len(t.versions[0].members))
 	newest := &t.versions[0]
 	var buffer [flow.MaxPath]flow.Hop
 	for b := range t.routes {
-		hops := t.AppendPath(buffer[:0], uint64(b), 0)
-		p := path{n: len(hops)}
-		copy(p.hops[:], hops)
-		stored, ok := shared[p]
+		var choices [flow.MaxPath]uint16
+		for i := range t.versions {
+			choices[i] = t.versions[i].first[b]
+		}
+		hops, ok := shared[choices]
 		if !ok {
-			stored = append([]flow.Hop(nil), hops...)
-			shared[p] = stored
+			hops = slices.Clone(t.AppendPath(buffer[:0], uint64(b), 0))
+			shared[choices] = hops
 		}
-		t.routes[b].Hops = stored
+		t.routes[b].Hops = hops
 		if second := newest.second[b]; second != none {
 			t.routes[b].SecondChoice = newest.members[second].Address
 		}
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -63,7 +63,7 @@
 	eligible []uint16
 	// seeds and inverses are the hash seed and reciprocal weight by member.
 	seeds, inverses []uint64
-	first, second   *[Buckets]uint16
+	first, second   [Buckets]uint16
 	byAddress       map[netip.AddrPort]uint16
 }
 
