router: Decide on packets from the tables

Balancers need decisions without locks. An address index and the state of each service are swapped atomically; versions, definitions and retired versions never fall.

--- /dev/null
+++ b/internal/core/router/bound_test.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agateramp/internal/core/flow"
+)
+
+// fleet returns a router with 390 services and 7,400 hosts in 4 versions, full
+// of hints, and packets for all services.
+func fleet(t testing.TB) (r *Router, packets []*flow.Packet) {
+	r = mustRouter(t)
+	for i := range 390 {
+		n := 19
+		if i == 0 {
+			n = 7400 - 389*19
+		}
+		if n > 250 {
+			t.Fatal("too many hosts for the addresses of the test")
+		}
+		_, err := r.Update(testSpec(uint32(i+1), 4, 4, n))
+		is.New(t).NoErr(err)
+	}
+	for i := range 1 << 16 {
+		id := i%390 + 1
+		target := netip.MustParseAddrPort(fmt.Sprintf("127.8.%d.%d:443", id>>8, id&255))
+		packets = append(packets, testPacket(target, i*7))
+		if i%2 == 0 {
+			members := r.Table(uint32(id)).Members()
+			r.Hint(testNow, packets[i].Key, members[i%len(members)].Address)
+		}
+	}
+	r.Suspect(r.Table(1).Members()[0].Address, true)
+	return r, packets
+}
+
+// Guards against decisions that allocate.
+func TestDecideAllocates(t *testing.T) {
+	r, packets := fleet(t)
+	var scratch Scratch
+	i := 0
+	n := testing.AllocsPerRun(1000, func() {
+		r.Decide(testNow, packets[i], &scratch)
+		i++
+	})
+	is.New(t).Equal(n, 0.0)
+}
+
+// Guards against slow decisions (bound 4 of the design).
+func TestBoundDecide(t *testing.T) {
+	if os.Getenv("AGATERAMP_BOUNDS") != "1" {
+		t.Skip("AGATERAMP_BOUNDS is not 1")
+	}
+	r, packets := fleet(t)
+	var scratch Scratch
+	times := make([]time.Duration, 31)
+	for run := range times {
+		start := time.Now()
+		for _, p := range packets {
+			r.Decide(testNow, p, &scratch)
+		}
+		times[run] = time.Since(start) / time.Duration(len(packets))
+	}
+	slices.Sort(times)
+	t.Logf("decision with 390 services and 7,400 hosts: median %v, slowest run %v", times[15], times[30])
+	is.New(t).True(times[15] <= 200*time.Nanosecond)
+}
+
+func BenchmarkDecide(b *testing.B) {
+	r, packets := fleet(b)
+	var scratch Scratch
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		r.Decide(testNow, packets[i&(1<<16-1)], &scratch)
+		i++
+	}
+}
--- a/internal/core/router/router.go
+++ b/internal/core/router/router.go
@@ -2,39 +2,23 @@
 package router
 
 import (
+	"cmp"
+	"encoding/binary"
 	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
+	"agateramp/internal/core/table"
 )
 
-// Decision is what becomes of a packet.
-type Decision interface{ isDecision() }
-
-type (
-	// Forward sends the packet to the agent at To with Header.
-	Forward struct {
-		To     netip.AddrPort
-		Header flow.Header
-	}
-	// Refuse tells the caller that the work was not run.
-	Refuse struct{ Reason flow.Reason }
-	// Drop discards the packet.
-	Drop struct{ Reason flow.Reason }
-)
-
-func (*Forward) isDecision() {}
-func (*Refuse) isDecision()  {}
-func (*Drop) isDecision()    {}
-
-// Scratch is the memory that a worker lends to Decide, so that a decision costs
-// no allocation. A decision is valid until the next call with the same Scratch.
-type Scratch struct {
-	forward Forward
-	refuse  Refuse
-	drop    Drop
-}
+// defaultMaxHints takes about 4 MB.
+const defaultMaxHints = 65_536
 
 // Config configures a Router.
 type Config struct {
@@ -44,30 +28,219 @@
 	MaxHints int
 }
 
-// Router holds the tables of a balancer. Its methods are safe for concurrent use.
-type Router struct{}
+// Router holds the tables of a balancer. Its methods are safe for concurrent
+// use. Decide takes no lock: it reads the address index and then the state of
+// one service, each swapped atomically.
+type Router struct {
+	self  netip.AddrPort
+	hints *hints
+	// addresses maps service addresses to services.
+	addresses atomic.Pointer[map[addressKey]*service]
+
+	// mu guards the fields below and all swaps.
+	mu        sync.Mutex
+	services  map[uint32]*service
+	removed   map[uint32]floor
+	suspected map[netip.AddrPort]struct{}
+}
+
+// addressKey is a service address in a form that hashes fast.
+type addressKey struct {
+	high, low uint64
+	rest      uint32
+}
+
+// service is one service of the router.
+type service struct {
+	state atomic.Pointer[state]
+}
+
+// state is a table and the agents on it that are suspected. It does not change.
+type state struct {
+	table *table.Table
+	// suspected is nil when no agent is suspected.
+	suspected map[netip.AddrPort]struct{}
+}
+
+// floor holds the newest numbers that a service has reached; they never fall.
+type floor struct{ version, oldest, config uint64 }
 
 // New returns a Router without tables.
-func New(_ Config) (r *Router, err error) { return &Router{}, nil }
+func New(c Config) (r *Router, err error) {
+	if !c.Self.IsValid() {
+		return nil, errors.New("router: Self is not set")
+	}
+	if c.MaxHints < 0 {
+		return nil, errors.Errorf("router: MaxHints is %d", c.MaxHints)
+	}
+	if c.MaxHints == 0 {
+		c.MaxHints = defaultMaxHints
+	}
+	r = &Router{
+		self:      c.Self,
+		hints:     newHints(c.MaxHints),
+		services:  make(map[uint32]*service),
+		removed:   make(map[uint32]floor),
+		suspected: make(map[netip.AddrPort]struct{}),
+	}
+	r.addresses.Store(&map[addressKey]*service{})
+	return r, nil
+}
 
 // Update takes a table spec. A spec older than the one in use is ignored and
-// reported as false.
-func (r *Router) Update(_ *controlpb.TableSpec) (applied bool, err error) { return false, nil }
+// reported as false. A newer table version with an older definition, or with
+// versions that were retired, is taken without these.
+func (r *Router) Update(spec *controlpb.TableSpec) (applied bool, err error) {
+	defer func() { err = errors.Wrap(err, "update router") }()
+	if spec.GetService() == nil {
+		return false, errors.Errorf("the spec of service %d has no definition", spec.GetServiceId())
+	}
+	next, err := table.Build(spec)
+	if err != nil {
+		return false, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := spec.GetServiceId()
+	s := r.services[id]
+	if s == nil {
+		if next.Version() <= r.removed[id].version {
+			return false, nil
+		}
+		s = &service{}
+		r.services[id] = s
+		r.swap(s, next)
+		r.index()
+		return true, nil
+	}
+	current := s.state.Load().table
+	if next.Version() < current.Version() {
+		return false, nil
+	}
+	if next.OldestVersion() < current.OldestVersion() || next.ConfigVersion() < current.ConfigVersion() {
+		if next, err = table.Build(raise(spec, current)); err != nil {
+			return false, err
+		}
+	}
+	if floorOf(next) == floorOf(current) {
+		return false, nil
+	}
+	r.release(current, next)
+	r.swap(s, next)
+	if next.ConfigVersion() != current.ConfigVersion() {
+		r.index()
+	}
+	return true, nil
+}
 
-// Remove forgets a service that the configuration no longer has.
-func (r *Router) Remove(_ uint32) {}
+func floorOf(t *table.Table) floor {
+	return floor{version: t.Version(), oldest: t.OldestVersion(), config: t.ConfigVersion()}
+}
 
-// Suspect marks the agent at an address as dead, or as alive again.
-func (r *Router) Suspect(_ netip.AddrPort, _ bool) {}
+// raise returns spec without what is older than the table in use.
+func raise(spec *controlpb.TableSpec, current *table.Table) *controlpb.TableSpec {
+	raised := &controlpb.TableSpec{
+		ServiceId:     spec.GetServiceId(),
+		ConfigVersion: spec.GetConfigVersion(),
+		Fence:         spec.GetFence(),
+		Service:       spec.GetService(),
+	}
+	for _, v := range spec.GetVersions() {
+		if v.GetVersion() >= current.OldestVersion() {
+			raised.Versions = append(raised.Versions, v)
+		}
+	}
+	if spec.GetConfigVersion() < current.ConfigVersion() {
+		raised.ConfigVersion, raised.Service = current.ConfigVersion(), current.Service()
+	}
+	return raised
+}
+
+// Remove forgets a service that the configuration no longer has. A late spec of
+// it is ignored.
+func (r *Router) Remove(id uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[id]
+	if s == nil {
+		return
+	}
+	r.removed[id] = floorOf(s.state.Load().table)
+	delete(r.services, id)
+	r.index()
+}
+
+// index rebuilds the address index. While an address moves between two services,
+// both specs list it; the one with the newer definition has it.
+func (r *Router) index() {
+	index := make(map[addressKey]*service, 2*len(r.services))
+	ids := make([]uint32, 0, len(r.services))
+	for id := range r.services {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		s := r.services[id]
+		t := s.state.Load().table
+		for _, a := range t.Service().GetAddresses() {
+			address, err := netip.ParseAddrPort(a.GetAddress())
+			if err != nil {
+				continue
+			}
+			key := keyOf(uint8(a.GetProtocol()), address)
+			if other := index[key]; other == nil || other.state.Load().table.ConfigVersion() < t.ConfigVersion() {
+				index[key] = s
+			}
+		}
+	}
+	r.addresses.Store(&index)
+}
 
 // Hint records that the agent at owner has the flow of key.
-func (r *Router) Hint(_ time.Time, _ flow.Key, _ netip.AddrPort) {}
+func (r *Router) Hint(now time.Time, key flow.Key, owner netip.AddrPort) {
+	r.hints.put(now, key.Hash(), owner)
+}
 
 // Service returns the definition of the service at a caller-facing address, or nil.
-func (r *Router) Service(_ uint8, _ netip.AddrPort) *controlpb.Service { return nil }
+func (r *Router) Service(protocol uint8, address netip.AddrPort) *controlpb.Service {
+	s := (*r.addresses.Load())[keyOf(protocol, address)]
+	if s == nil {
+		return nil
+	}
+	return s.state.Load().table.Service()
+}
+
+// Table returns the table of a service, or nil.
+func (r *Router) Table(id uint32) *table.Table {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[id]; s != nil {
+		return s.state.Load().table
+	}
+	return nil
+}
 
-// Versions returns the newest table version and config version of each service.
-func (r *Router) Versions() []*controlpb.Ack { return nil }
+// Versions returns the newest table version and config version of each service
+// in the order of their ids. The caller fills in the name.
+func (r *Router) Versions() []*controlpb.Ack {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	acks := make([]*controlpb.Ack, 0, len(r.services))
+	for id, s := range r.services {
+		t := s.state.Load().table
+		acks = append(acks, &controlpb.Ack{
+			ServiceId: id, Version: t.Version(), ConfigVersion: t.ConfigVersion(), Balancer: true,
+		})
+	}
+	slices.SortFunc(acks, func(a, b *controlpb.Ack) int { return cmp.Compare(a.GetServiceId(), b.GetServiceId()) })
+	return acks
+}
 
-// Decide says what becomes of a packet.
-func (r *Router) Decide(_ time.Time, _ *flow.Packet, _ *Scratch) Decision { return nil }
+func keyOf(protocol uint8, address netip.AddrPort) addressKey {
+	b := address.Addr().As16()
+	return addressKey{
+		high: binary.BigEndian.Uint64(b[:8]),
+		low:  binary.BigEndian.Uint64(b[8:]),
+		rest: uint32(protocol)<<16 | uint32(address.Port()),
+	}
+}
