owner: Ask the whole directory before non-idempotent work runs

Traces of doubled requests showed that the witness of the newest table can be new to a bucket: when the owner died, nobody reported its flows to the choices of the next table version, and the new witness confirmed a late copy as new work.

--- a/internal/core/owner/admission.go
+++ b/internal/core/owner/admission.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +30,15 @@
 	token  uint32
 	// deadline is in nanoseconds since 1970.
 	deadline int64
-	// witness and sequence name the report that must be confirmed.
+	// known is what witnesses are told of earlier flows on the key.
+	known tokens
+	// asked holds the witnesses that have not confirmed yet.
+	asked []ask
+}
+
+// ask is a report that a witness must confirm. The sequence is 0 while there is
+// no stream to the witness.
+type ask struct {
 	witness  netip.AddrPort
 	sequence uint64
 }
@@ -197,6 +206,34 @@
 	return found
 }
 
+// confirm notes that a witness confirmed a report, and removes and returns the
+// packets that no other witness has to confirm.
+func (a *admission) confirm(witness netip.AddrPort, sequence uint64) []*waiting {
+	return a.takePending(func(w *waiting) bool {
+		before := len(w.asked)
+		w.asked = slices.DeleteFunc(w.asked, func(q ask) bool {
+			return q.witness == witness && q.sequence == sequence && sequence != 0
+		})
+		return before > 0 && len(w.asked) == 0
+	})
+}
+
+// askAgain numbers anew the reports to a witness whose stream is new. It returns
+// a copy of what is to be sent.
+func (a *admission) askAgain(witness netip.AddrPort, next func() uint64) (again []waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range a.pending {
+		for i := range w.asked {
+			if w.asked[i].witness == witness {
+				w.asked[i].sequence = next()
+				again = append(again, waiting{packet: w.packet, known: w.known, asked: []ask{w.asked[i]}})
+			}
+		}
+	}
+	return again
+}
+
 // overdue removes and returns the queued packets whose deadline passed.
 func (a *admission) overdue(now int64) (found []*waiting) {
 	a.mu.Lock()
--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
@@ -69,45 +70,56 @@
 	if e.state == stateRemote {
 		m.Owner = encodeAddress(c.owner.hosts.address(e.host))
 	}
-	for _, token := range e.tokens {
-		if token != 0 {
-			m.FirstPackets = append(m.FirstPackets, token)
-		}
-	}
+	m.FirstPackets = e.tokens.list()
 	return m
 }
 
-// witness returns the peer that must confirm a non-idempotent flow: the second
-// choice, or the first when this agent is the second. A peer without a stream for
-// a second is passed over. It reports false when there is no other host.
-func (c *call) witness(hash uint64) (address netip.AddrPort, ok bool) {
+// witnesses returns the peers that must confirm a non-idempotent flow: all that
+// its directory consists of. One of them alone may be new to the flow's bucket and
+// not know that an owner that is dead by now ran the same work. Peers without a
+// stream for a second are passed over; when none is left, the next member in
+// rendezvous order is asked. It reports alone when there is no other host.
+func (c *call) witnesses(hash uint64) (peers []netip.AddrPort, alone bool) {
 	t := c.view.table
 	skipped := func(a netip.AddrPort) bool { return a == c.owner.self || c.owner.peers.dead(a, c.now) }
-	if second := t.Route(hash).SecondChoice; second.IsValid() && !skipped(second) {
-		return second, true
+	peers = slices.DeleteFunc(t.AppendDirectory(nil, hash), skipped)
+	if len(peers) > 0 {
+		return peers, false
 	}
 	if m := t.Next(hash, skipped); m != nil {
-		return m.Address, true
+		return []netip.AddrPort{m.Address}, false
 	}
-	// All others are unreachable, which does not make the flow safe to run.
-	alone := true
+	// That all others are unreachable does not make the flow safe to run.
 	for i := range t.Members() {
-		alone = alone && t.Members()[i].Address == c.owner.self
+		if t.Members()[i].Address != c.owner.self {
+			return []netip.AddrPort{t.Members()[i].Address}, false
+		}
 	}
-	return netip.AddrPort{}, !alone
+	return nil, true
 }
 
-// askWitness reports a flow to its witness at once. Without a stream the report
-// follows when there is one.
-func (c *call) askWitness(e *entry, w *waiting) {
-	sequence, ok := c.owner.peers.next(w.witness)
-	if !ok {
-		return
+// askWitnesses reports a flow to its witnesses at once. A witness without a stream
+// gets the report when there is one.
+func (c *call) askWitnesses(w *waiting) {
+	for i := range w.asked {
+		q := &w.asked[i]
+		sequence, ok := c.owner.peers.next(q.witness)
+		if !ok {
+			continue
+		}
+		q.sequence = sequence
+		c.emitAsk(w, *q)
 	}
-	w.sequence = sequence
-	c.emit(&Report{To: w.witness, Report: &controlpb.FlowReport{
-		Sequence: sequence,
-		Entries:  []*controlpb.FlowEntry{c.entryMessage(e)},
+}
+
+func (c *call) emitAsk(w *waiting, q ask) {
+	c.emit(&Report{To: q.witness, Report: &controlpb.FlowReport{
+		Sequence: q.sequence,
+		Entries: []*controlpb.FlowEntry{{
+			Key:          encodeKey(w.packet.Key),
+			Owner:        encodeAddress(c.owner.self),
+			FirstPackets: w.known.list(),
+		}},
 	}})
 }
 
--- a/internal/core/owner/entry.go
+++ b/internal/core/owner/entry.go
@@ -73,6 +73,16 @@
 	return t
 }
 
+// list returns the known tokens.
+func (t tokens) list() (known []uint32) {
+	for _, token := range t {
+		if token != 0 {
+			known = append(known, token)
+		}
+	}
+	return known
+}
+
 // entry is one flow in the flow map. Its size is part of the bound of 128 bytes
 // a flow, so it holds times as nanoseconds and hosts as indices.
 type entry struct {
--- a/internal/core/owner/events.go
+++ b/internal/core/owner/events.go
@@ -40,7 +40,7 @@
 		c.clear()
 	}
 	if old != nil {
-		c.rereport(old.table)
+		c.rereport(old.table, func(host netip.AddrPort) bool { return !o.peers.connected(host) })
 	}
 	m := v.table.Member(o.self)
 	c.offerQueued(o.admission.exclude(m == nil || !m.Active()))
@@ -62,18 +62,23 @@
 	return addresses
 }
 
-// rereport reports the flows of this agent to the hosts that a new table adds to
-// their directory.
-func (c *call) rereport(old *table.Table) {
+// rereport reports flows to the hosts that a new table adds to their directory, or
+// to all when there is no old one: the flows of this agent, and the entries whose
+// owner cannot report them itself.
+func (c *call) rereport(old *table.Table, orphaned func(host netip.AddrPort) bool) {
 	var before, after [2 * flow.MaxPath]netip.AddrPort
 	for i := range c.owner.flows.shards {
 		s := &c.owner.flows.shards[i]
 		s.mu.Lock()
 		s.each(func(e *entry) {
-			if !e.own() {
+			own := e.own() && old != nil
+			if !own && (e.state != stateRemote || !orphaned(c.owner.hosts.address(e.host))) {
 				return
 			}
-			known := old.AppendDirectory(before[:0], e.hash)
+			var known []netip.AddrPort
+			if old != nil {
+				known = old.AppendDirectory(before[:0], e.hash)
+			}
 			added := c.view.table.AppendDirectory(after[:0], e.hash)
 			n := 0
 			for _, a := range added {
@@ -151,16 +156,22 @@
 		s.mu.Unlock()
 	}
 	c.flush(address)
-	for _, w := range o.admission.takePending(func(w *waiting) bool { return w.witness == address }) {
-		c.withPending(w, func(e *entry) {
-			c.askWitness(e, w)
-			c.owner.admission.await(w)
-		})
+	again := o.admission.askAgain(address, func() uint64 {
+		sequence, _ := o.peers.next(address)
+		return sequence
+	})
+	for i := range again {
+		c.emitAsk(&again[i], again[i].asked[0])
 	}
 }
 
+// peerDisconnected passes on what the directory holds of a peer that may be dead:
+// nobody else reports its flows to hosts that a later table adds to their directory.
 func (c *call) peerDisconnected(address netip.AddrPort) {
 	c.owner.peers.disconnect(address, c.now)
+	if c.view != nil {
+		c.rereport(nil, func(host netip.AddrPort) bool { return host == address })
+	}
 }
 
 // reportAcked delivers the flows that the confirmed report was about.
@@ -169,10 +180,7 @@
 		return
 	}
 	c.owner.peers.confirm(from, sequence)
-	confirmed := c.owner.admission.takePending(func(w *waiting) bool {
-		return w.witness == from && w.sequence != 0 && w.sequence == sequence
-	})
-	for _, w := range confirmed {
+	for _, w := range c.owner.admission.confirm(from, sequence) {
 		c.withPending(w, func(e *entry) { c.begin(e, &w.header, &w.packet) })
 	}
 	c.acknowledge()
--- a/internal/core/owner/network_test.go
+++ b/internal/core/owner/network_test.go
@@ -42,9 +42,9 @@
 	broken, doubled, misdelivered, refusedButRun, overSlots, lateWork []string
 
 	// neverRan holds flows that were neither refused nor given to a backend server.
-	neverRan []string
-	hops, delivered                                                   int
-	refused, unplaced                                                 int
+	neverRan          []string
+	hops, delivered   int
+	refused, unplaced int
 }
 
 type simEvent struct {
--- a/internal/core/owner/peers.go
+++ b/internal/core/owner/peers.go
@@ -62,6 +62,14 @@
 	return p != nil && p.dead(now)
 }
 
+// connected reports whether there is a stream to an agent.
+func (s *peerSet) connected(address netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.byAddress[address]
+	return p != nil && p.connected
+}
+
 // gone reports whether there has been no stream to an agent since a time.
 func (s *peerSet) gone(address netip.AddrPort, since int64) bool {
 	s.mu.Lock()
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -213,8 +213,12 @@
 	if c.owner.admission.countsSlots {
 		e.flags = flagBusy
 	}
-	witness, ok := c.witness(p.Hash)
-	if c.view.idempotent || !ok {
+	if c.view.idempotent {
+		c.begin(e, h, p)
+		return
+	}
+	witnesses, alone := c.witnesses(p.Hash)
+	if alone {
 		c.begin(e, h, p)
 		return
 	}
@@ -224,8 +228,11 @@
 	e.state, e.expires = statePending, 0
 	c.noteOffer(e, h)
 	kept.deadline = nanoseconds(c.now, witnessDeadline)
-	kept.witness = witness
-	c.askWitness(e, kept)
+	kept.known, kept.asked = e.tokens, nil
+	for _, a := range witnesses {
+		kept.asked = append(kept.asked, ask{witness: a})
+	}
+	c.askWitnesses(kept)
 	c.owner.admission.await(kept)
 }
 
--- a/internal/core/owner/schedule_test.go
+++ b/internal/core/owner/schedule_test.go
@@ -275,6 +275,9 @@
 	n.kill(h)
 	n.after(n.between(50*time.Millisecond, time.Second), func() {
 		fresh := n.newHost(to, h.address, 2)
+		to.members = slices.DeleteFunc(to.members, func(m *controlpb.Member) bool {
+			return m.GetAddress() == h.address.String()
+		})
 		to.members = append(to.members, fresh.member(1000))
 		to.publish()
 	})
