weights: Derive effective weights from busy shares

Announced capacities are often wrong. The shard holder feeds a Learner with members, heartbeats and the time, and gets weights and whether to publish.

--- /dev/null
+++ b/internal/core/weights/weights.go
@@ -0,0 +1,199 @@
+// Package weights derives the effective weights of the hosts of a service from
+// what they announce and from how busy they are.
+package weights
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Member is a host as the shard holder knows it.
+type Member struct {
+	Host        string
+	Incarnation uint64
+	// Weight is the announced weight in thousandths. A host with weight 0 gets no
+	// new flows and nothing is learned about it.
+	Weight uint32
+	// Published is the effective weight in the table spec of the store, or 0 when
+	// the spec does not have the host. A new holder takes over from it.
+	Published uint32
+	Draining  bool
+}
+
+// Weight is the effective weight of a host in thousandths.
+type Weight struct {
+	Host   string
+	Weight uint32
+}
+
+// Learner holds what is known about the hosts of one service. It is not safe for
+// concurrent use. The shard holder calls SetMembers when hosts come, go or
+// change, Observe for each heartbeat, Step once a second, and Published after it
+// has written a table version.
+type Learner struct {
+	rules rules
+	hosts map[string]*host
+	// nextStep is when weights are learned next.
+	nextStep time.Time
+}
+
+// host is the state of one host.
+type host struct {
+	member Member
+	// learned is the weight that the host should have once warm, published the one
+	// in the newest table.
+	learned, published float64
+	// warmAt is when its slow start ends.
+	warmAt time.Time
+	// busy holds the busy share since its weight changed; settledAt is when
+	// heartbeats tell about the present weight.
+	busy      average
+	settledAt time.Time
+	// run counts the saturated heartbeats up to now, usualRun is the mean length of
+	// earlier runs.
+	run, usualRun float64
+	// cutAt is when its weight was last cut as that of an outlier.
+	cutAt time.Time
+}
+
+// New returns a Learner without hosts.
+func New() *Learner { return newLearner(defaultRules()) }
+
+func newLearner(r rules) *Learner {
+	return &Learner{rules: r, hosts: make(map[string]*host)}
+}
+
+// SetMembers replaces the hosts of the service. It returns true when a table
+// version should be published at once, because a host came, went, or started or
+// ended draining.
+func (l *Learner) SetMembers(now time.Time, members []Member) (publish bool) {
+	seen := make(map[string]struct{}, len(members))
+	for _, m := range members {
+		seen[m.Host] = struct{}{}
+		h := l.hosts[m.Host]
+		if h == nil {
+			l.hosts[m.Host] = l.newHost(now, m)
+			publish = publish || m.Published == 0
+			continue
+		}
+		publish = h.change(now, m, l.rules) || publish
+	}
+	for name := range l.hosts {
+		if _, ok := seen[name]; !ok {
+			delete(l.hosts, name)
+			publish = true
+		}
+	}
+	return publish
+}
+
+// newHost returns the state of a host that was not known. A host that the table
+// has already is warm, and its published weight is what was learned.
+func (l *Learner) newHost(now time.Time, m Member) *host {
+	h := &host{member: m, learned: float64(m.Weight), warmAt: now.Add(l.rules.ramp)}
+	if m.Published > 0 && m.Weight > 0 {
+		h.learned, h.published, h.warmAt = float64(m.Published), float64(m.Published), now
+	}
+	h.settledAt = now.Add(l.rules.settle)
+	return h
+}
+
+// change takes over what a known host announces now.
+func (h *host) change(now time.Time, m Member, r rules) (publish bool) {
+	old := h.member
+	h.member = m
+	if m.Incarnation != old.Incarnation && old.Incarnation != 0 {
+		// A restarted backend server is cold, but as fast as before.
+		h.warmAt = now.Add(r.ramp)
+		h.settle(now, r)
+	}
+	if m.Weight != old.Weight {
+		ratio := 1.0
+		if old.Weight > 0 {
+			ratio = h.learned / float64(old.Weight)
+		}
+		h.learned = float64(m.Weight) * ratio
+		publish = true
+	}
+	return publish || m.Draining != old.Draining
+}
+
+func (h *host) settle(now time.Time, r rules) {
+	h.busy = average{}
+	h.settledAt = now.Add(r.settle)
+}
+
+// Observe takes a heartbeat: the busy share in thousandths since the last one.
+func (l *Learner) Observe(now time.Time, name string, busyShare uint32) {
+	h := l.hosts[name]
+	if h == nil {
+		return
+	}
+	share := min(1, float64(busyShare)/1000)
+	h.observeSaturation(share, l.rules)
+	if !now.Before(h.settledAt) {
+		h.busy.add(share)
+	}
+}
+
+// Step learns from the heartbeats and returns the effective weight of each host
+// by name. When publish is set, a weight left the dead band, and a table version
+// with these weights should be published. Weights within the dead band keep
+// their published value, so that their buckets stay where they are.
+func (l *Learner) Step(now time.Time) (weights []Weight, publish bool) {
+	l.cutOutliers(now)
+	if !now.Before(l.nextStep) {
+		l.nextStep = now.Add(l.rules.interval)
+		l.learn(now)
+	}
+	weights = make([]Weight, 0, len(l.hosts))
+	for name, h := range l.hosts {
+		effective := h.effective(now, l.rules)
+		if h.published > 0 && math.Abs(effective/h.published-1) <= l.rules.band {
+			effective = h.published
+		}
+		publish = publish || effective != h.published
+		weights = append(weights, Weight{Host: name, Weight: toThousandths(effective)})
+	}
+	slices.SortFunc(weights, func(a, b Weight) int { return strings.Compare(a.Host, b.Host) })
+	return weights, publish
+}
+
+// Published says that a table version with these weights is in the store.
+func (l *Learner) Published(now time.Time, weights []Weight) {
+	for _, w := range weights {
+		h := l.hosts[w.Host]
+		if h == nil || toThousandths(h.published) == w.Weight {
+			continue
+		}
+		h.published = float64(w.Weight)
+		if !now.Before(h.warmAt) {
+			h.learned = h.published
+		}
+		h.settle(now, l.rules)
+	}
+}
+
+// effective returns the weight of a host with regard to its slow start. The ramp
+// rises once per interval, so that it costs few table versions.
+func (h *host) effective(now time.Time, r rules) float64 {
+	if h.member.Weight == 0 {
+		return 0
+	}
+	left := h.warmAt.Sub(now)
+	if left <= 0 {
+		return h.learned
+	}
+	steps := math.Floor(float64(r.ramp-left) / float64(r.interval))
+	ratio := steps * float64(r.interval) / float64(r.ramp)
+	return h.learned * (r.rampFrom + (1-r.rampFrom)*ratio)
+}
+
+func toThousandths(weight float64) uint32 {
+	if weight <= 0 {
+		return 0
+	}
+	return uint32(max(1, math.Round(weight)))
+}
