--- a/internal/packet/geneve/port.go
+++ b/internal/packet/geneve/port.go
@@ -165,7 +165,7 @@
 				return nil
 			}
 			// ICMP errors of earlier sends are reported here and concern one peer only.
-			if !transient(err) {
+			if !Transient(err) {
 				return errors.Wrap(err, "read frame")
 			}
 			time.Sleep(time.Millisecond)
@@ -193,7 +193,9 @@
 	}
 }
 
-func transient(err error) bool {
+// Transient reports whether a socket error concerns one datagram or peer only, so
+// that the socket stays usable.
+func Transient(err error) bool {
 	return errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.EINTR) ||
 		errors.Is(err, unix.EHOSTUNREACH) || errors.Is(err, unix.ENETUNREACH) || errors.Is(err, unix.ENOMEM)
 }
