--- /dev/null
+++ b/internal/load/history/check.go
@@ -0,0 +1,221 @@
+package history
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+const (
+	// leaveLimit is how long a leaving host may get new work (invariant 6).
+	leaveLimit = 3 * time.Second
+	// knownLimit covers work that an agent delivered before it learned of the
+	// drain and that its backend server took from the socket afterwards.
+	knownLimit = 50 * time.Millisecond
+	// inForceLimit is when an accepted configuration must be in force (section 1.5).
+	inForceLimit = 6 * time.Second
+)
+
+// Violation is a breach of an invariant of design section 1.2.
+type Violation struct {
+	Invariant int
+	Detail    string
+}
+
+// Checker finds the violations of one invariant.
+type Checker struct {
+	Name      string
+	Invariant int
+	check     func(h *History, report func(format string, args ...any))
+}
+
+// Checkers returns one checker for each invariant that a history can show.
+func Checkers() []Checker {
+	return []Checker{
+		{"broken_flows", 1, checkBroken},
+		{"packets_misdelivered", 2, checkMisdelivered},
+		{"answers_wrong", 3, checkWrong},
+		{"refused_but_run", 4, checkRefusedButRun},
+		{"runs_doubled", 5, checkDoubled},
+		{"work_after_leaving", 6, checkLeaving},
+		{"work_interrupted", 7, checkInterrupted},
+		{"config_reverted", 8, checkConfig},
+	}
+}
+
+// Check returns the violations that c finds.
+func (c *Checker) Check(h *History) (violations []Violation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c.check(h, func(format string, args ...any) {
+		violations = append(violations, Violation{Invariant: c.Invariant, Detail: fmt.Sprintf(format, args...)})
+	})
+	return violations
+}
+
+// Check returns the violations of all invariants.
+func Check(h *History) (violations []Violation) {
+	for _, c := range Checkers() {
+		violations = append(violations, c.Check(h)...)
+	}
+	return violations
+}
+
+// checkBroken reports established flows that failed, except flows of a host that
+// died: only those may break.
+func checkBroken(h *History, report func(string, ...any)) {
+	for _, id := range h.order {
+		f := h.flows[id]
+		failed := f.End == EndRefused || f.End == EndReset || f.End == EndUnanswered
+		if f.Established.IsZero() || !failed {
+			continue
+		}
+		if died := h.find(MarkDied, f.Host, time.Time{}); died != nil && !died.At.After(f.Ended) {
+			continue
+		}
+		report("flow %d of service %d at host %q broke %v after it was established", id, f.Service, f.Host, f.Ended.Sub(f.Established))
+	}
+}
+
+func checkMisdelivered(h *History, report func(string, ...any)) {
+	for _, r := range h.runs {
+		if r.Service != r.HostService {
+			report("request %d of service %d ran at host %q of service %d", r.Request, r.Service, r.Host, r.HostService)
+		}
+	}
+}
+
+func checkWrong(h *History, report func(string, ...any)) {
+	for _, w := range h.wrong {
+		report("flow %d got an answer that is not the complete response to its request", w.Flow)
+	}
+}
+
+func checkRefusedButRun(h *History, report func(string, ...any)) {
+	for _, r := range h.runs {
+		if f := h.flows[r.Flow]; f != nil && f.End == EndRefused && f.Established.IsZero() {
+			report("flow %d was refused as not run, but request %d ran at host %q", r.Flow, r.Request, r.Host)
+		}
+	}
+}
+
+func checkDoubled(h *History, report func(string, ...any)) {
+	first := make(map[uint64]*Run, len(h.runs))
+	for _, r := range h.runs {
+		if r.Idempotent {
+			continue
+		}
+		if other := first[r.Request]; other != nil {
+			report("request %d ran at host %q and again at host %q", r.Request, other.Host, r.Host)
+			continue
+		}
+		first[r.Request] = r
+	}
+}
+
+// checkLeaving reports new flows that started at a host after it was told to leave.
+func checkLeaving(h *History, report func(string, ...any)) {
+	for _, r := range h.runs {
+		if r.Sequence != 0 {
+			continue
+		}
+		for _, m := range h.marks {
+			limit := leaveLimit
+			if m.Kind == MarkDrainKnown {
+				limit = knownLimit
+			} else if m.Kind != MarkLeaving {
+				continue
+			}
+			if m.Name != r.Host || !r.Started.After(m.At.Add(limit)) {
+				continue
+			}
+			if back := h.find(MarkReturned, m.Name, m.At); back != nil && !back.At.After(r.Started) {
+				continue
+			}
+			// The agent may have taken the flow before it knew, and queued it since.
+			if f := h.flows[r.Flow]; m.Kind == MarkDrainKnown && f != nil && !f.Opened.After(m.At) {
+				continue
+			}
+			report("host %q got new flow %d %v after it was to leave", r.Host, r.Flow, r.Started.Sub(m.At))
+			break
+		}
+	}
+}
+
+// checkInterrupted reports runs that a planned stop cut off.
+func checkInterrupted(h *History, report func(string, ...any)) {
+	for _, r := range h.runs {
+		stop := h.find(MarkStopped, r.Host, r.Started)
+		if stop != nil && (r.Finished.IsZero() || r.Finished.After(stop.At)) {
+			report("request %d was in progress when host %q was stopped", r.Request, r.Host)
+		}
+	}
+}
+
+// checkConfig reports balancers that went back to an older configuration or did
+// not put one in force in time.
+func checkConfig(h *History, report func(string, ...any)) {
+	marks := append([]Mark(nil), h.marks...)
+	sort.SliceStable(marks, func(i, j int) bool { return marks[i].At.Before(marks[j].At) })
+	newest := make(map[string]uint64)
+	for _, m := range marks {
+		if m.Kind != MarkInForce {
+			continue
+		}
+		if m.Version < newest[m.Name] {
+			report("balancer %q went from configuration %d back to %d", m.Name, newest[m.Name], m.Version)
+			continue
+		}
+		newest[m.Name] = m.Version
+	}
+	for _, m := range marks {
+		if m.Kind == MarkAccepted && !h.closed.IsZero() {
+			h.checkInForce(marks, m, report)
+		}
+	}
+}
+
+func (h *History) checkInForce(marks []Mark, accepted Mark, report func(string, ...any)) {
+	deadline := accepted.At.Add(inForceLimit)
+	if h.closed.Before(deadline) {
+		return
+	}
+	up := make(map[string]bool)
+	inForce := make(map[string]bool)
+	for _, m := range marks {
+		if m.At.After(deadline) {
+			break
+		}
+		switch m.Kind {
+		case MarkBalancerUp:
+			// A balancer that joined later has its own time to read the configuration.
+			up[m.Name] = !m.At.After(accepted.At)
+			inForce[m.Name] = false
+		case MarkBalancerDown:
+			up[m.Name] = false
+		case MarkInForce:
+			inForce[m.Name] = inForce[m.Name] || m.Version >= accepted.Version
+		}
+	}
+	names := make([]string, 0, len(up))
+	for name := range up {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		if up[name] && !inForce[name] {
+			report("configuration %d was not in force at balancer %q %v after it was accepted", accepted.Version, name, inForceLimit)
+		}
+	}
+}
+
+// find returns the first mark of a kind for a name at or after a time.
+func (h *History) find(kind MarkKind, name string, since time.Time) (found *Mark) {
+	for i := range h.marks {
+		m := &h.marks[i]
+		if m.Kind == kind && m.Name == name && !m.At.Before(since) && (found == nil || m.At.Before(found.At)) {
+			found = m
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/load/history/summary.go
@@ -0,0 +1,117 @@
+package history
+
+import (
+	"sort"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// HostShare is the share of work that one host did.
+type HostShare struct {
+	// Share is the host's part of all runs.
+	Share  float64 `json:"share"`
+	Runs   int     `json:"runs"`
+	BusyMS float64 `json:"busy_ms"`
+	Slots  uint32  `json:"slots"`
+}
+
+// Latency holds quantiles in milliseconds.
+type Latency struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+}
+
+// Summary is the result of a load run.
+type Summary struct {
+	FlowsOpened         int                  `json:"flows_opened"`
+	FlowsCompleted      int                  `json:"flows_completed"`
+	FlowsBroken         int                  `json:"flows_broken"`
+	FlowsFailed         int                  `json:"flows_failed"`
+	PacketsMisdelivered int                  `json:"packets_misdelivered"`
+	AnswersWrong        int                  `json:"answers_wrong"`
+	RunsDoubled         int                  `json:"runs_doubled"`
+	Refused             int                  `json:"refused"`
+	RefusedButRun       int                  `json:"refused_but_run"`
+	WorkAfterLeaving    int                  `json:"work_after_leaving"`
+	WorkInterrupted     int                  `json:"work_interrupted"`
+	ConfigReverted      int                  `json:"config_reverted"`
+	Requests            int64                `json:"requests"`
+	Retransmissions     int64                `json:"retransmissions"`
+	PerHost             map[string]HostShare `json:"per_host"`
+	// Imbalance is the maximum over the mean of busy time divided by slots, or 0
+	// if no run was measured.
+	Imbalance float64 `json:"imbalance"`
+	LatencyMS Latency `json:"latency_ms"`
+	// Violations holds the first violations of any invariant.
+	Violations []string `json:"violations"`
+}
+
+// maxViolations bounds the violations that a summary lists.
+const maxViolations = 20
+
+// Summarize returns the summary of a history with the latencies in microseconds.
+func Summarize(h *History, latency *hdrhistogram.Histogram) (s Summary) {
+	s.Violations = []string{}
+	counts := make(map[string]int)
+	for _, c := range Checkers() {
+		violations := c.Check(h)
+		counts[c.Name] = len(violations)
+		for _, v := range violations[:min(len(violations), maxViolations-len(s.Violations))] {
+			s.Violations = append(s.Violations, v.Detail)
+		}
+	}
+	s.FlowsBroken, s.PacketsMisdelivered = counts["broken_flows"], counts["packets_misdelivered"]
+	s.AnswersWrong, s.RefusedButRun = counts["answers_wrong"], counts["refused_but_run"]
+	s.RunsDoubled, s.WorkAfterLeaving = counts["runs_doubled"], counts["work_after_leaving"]
+	s.WorkInterrupted, s.ConfigReverted = counts["work_interrupted"], counts["config_reverted"]
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.FlowsOpened = len(h.order)
+	for _, f := range h.flows {
+		switch {
+		case f.End == EndCompleted:
+			s.FlowsCompleted++
+		case f.End == EndRefused:
+			s.Refused++
+		case f.Established.IsZero() && (f.End == EndReset || f.End == EndUnanswered):
+			s.FlowsFailed++
+		}
+	}
+	s.PerHost, s.Imbalance = shares(h.runs)
+	if latency != nil {
+		quantile := func(q float64) float64 { return float64(latency.ValueAtQuantile(q)) / 1000 }
+		s.LatencyMS = Latency{P50: quantile(50), P99: quantile(99), P999: quantile(99.9)}
+	}
+	return s
+}
+
+func shares(runs []*Run) (perHost map[string]HostShare, imbalance float64) {
+	perHost = make(map[string]HostShare)
+	for _, r := range runs {
+		share := perHost[r.Host]
+		share.Runs++
+		share.BusyMS += float64(r.BusyMicros) / 1000
+		share.Slots = r.Slots
+		perHost[r.Host] = share
+	}
+	names := make([]string, 0, len(perHost))
+	for name := range perHost {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	sum, highest := 0.0, 0.0
+	for _, name := range names {
+		share := perHost[name]
+		share.Share = float64(share.Runs) / float64(len(runs))
+		perHost[name] = share
+		use := share.BusyMS / float64(max(share.Slots, 1))
+		sum += use
+		highest = max(highest, use)
+	}
+	if sum > 0 {
+		imbalance = highest * float64(len(names)) / sum
+	}
+	return perHost, imbalance
+}
--- /dev/null
+++ b/internal/load/payload/payload_test.go
@@ -0,0 +1,53 @@
+package payload_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"agateramp/internal/load/payload"
+)
+
+var request = payload.Request{
+	First: true, Idempotent: true, Service: 3, Sequence: 0, Flow: 1 << 40, ID: 1<<40 + 1, WorkMicros: 500, BodySize: 100,
+}
+
+// Guards against answers that pass as complete although they are cut, belong to
+// another request or have another body.
+func TestAnswerCompletesOnlyItsRequest(t *testing.T) {
+	is := is.New(t)
+	encoded := request.Append(nil)
+	is.Equal(string(encoded[:4]), payload.FirstPrefix)
+	parsed, body, err := payload.ParseRequest(encoded)
+	is.NoErr(err)
+	is.Equal(parsed, request)
+	answer := payload.Answer{Request: parsed, Host: "a1", HostService: 3, Slots: 2, Run: 7, BusyMicros: 600}
+	encoded = answer.Append(nil, body)
+	got, err := payload.ParseAnswer(encoded)
+	is.NoErr(err)
+	is.True(got.Completes(&request))
+	is.Equal([]any{got.Host, got.HostService, got.Slots, got.Run, got.BusyMicros}, []any{"a1", uint32(3), uint32(2), uint64(7), uint32(600)})
+	other := request
+	other.ID++
+	is.True(!got.Completes(&other))
+	short, err := payload.ParseAnswer(answer.Append(nil, body[:99]))
+	is.NoErr(err)
+	is.True(!short.Completes(&request))
+	_, err = payload.ParseAnswer(encoded[:len(encoded)-1])
+	is.Equal(err, payload.ErrInvalid)
+}
+
+// Guards against panics on foreign payloads.
+func FuzzParse(f *testing.F) {
+	f.Add(request.Append(nil))
+	answer := payload.Answer{Request: request, Host: "a1"}
+	f.Add(answer.Append(nil, payload.AppendBody(nil, request.ID, request.BodySize)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, _, err := payload.ParseRequest(b); err == nil && r.BodySize > len(b) {
+			t.Fatalf("body of %d bytes in %d", r.BodySize, len(b))
+		}
+		if a, err := payload.ParseAnswer(b); err == nil {
+			a.Completes(&a.Request)
+		}
+	})
+}
