load, standin: Add the load generator, fabric and backend server

Cause: Tests and the dev command need callers, a packet-spraying fabric and backend servers that count what they ran. Change: Add the fabric stand-in for Geneve and datagrams with lost, duplicated and delayed packets, the backend server as a UDP server and behind a tunnel device with a small TCP, and the load generator over both adapters. geneve.Port starts its readers in Start, so that a handler cannot run before its owner holds the port. Conclusion: The load tool sees every fault that the tests plant.

--- /dev/null
+++ b/internal/load/generator/generator_test.go
@@ -0,0 +1,156 @@
+package generator_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agateramp/internal/core/flow"
+	"agateramp/internal/load/generator"
+	"agateramp/internal/load/history"
+	"agateramp/internal/standin/fabric"
+)
+
+// Guards against a load tool or stand-ins that lose, cross or double work on a
+// fabric which loses, duplicates and reorders packets and changes its balancers,
+// and against ports that cannot be used again.
+func TestLoadOverDisturbedFabric(t *testing.T) {
+	tests := []struct {
+		name      string
+		transport func(s *system) generator.Transport
+	}{
+		{"datagram", func(s *system) generator.Transport { return s.datagrams() }},
+		{"geneve udp", func(s *system) generator.Transport { return s.geneve(false) }},
+		{"geneve tcp", func(s *system) generator.Transport { return s.geneve(true) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSystem(t)
+			s.fabric.SetFaults(fabric.Faults{Lost: 30, Duplicated: 100, Delayed: 100, MaxDelayMS: 20})
+			var removal sync.Once
+			var packets atomic.Int32
+			s.route = func(packet *flow.Packet) []int {
+				if packets.Add(1) > 200 {
+					removal.Do(func() { s.fabric.Remove("1") })
+				}
+				return []int{int(packet.Hash % 2)}
+			}
+			summary := s.load(generator.Config{Transport: test.transport(s), Flows: 200, Concurrency: 40, Length: 3, WorkMicros: 1000})
+			is.Equal(summary.Violations, []string{})
+			is.Equal(summary.FlowsOpened, 200)
+			is.Equal(summary.FlowsCompleted, 200)
+			is.Equal(summary.Requests, int64(600))
+			is.True(summary.Retransmissions > 0) // lost packets
+			is.Equal(len(summary.PerHost), 2)
+			is.True(summary.LatencyMS.P50 >= 0.01)
+			sprayed := s.fabric.Sprayed()
+			is.True(sprayed["1"] >= 50 && sprayed["1"] < sprayed["0"]) // both balancers, until one was removed
+			for _, server := range s.servers {
+				for _, run := range server.Record() {
+					is.Equal(server.Runs(run.Request), 1)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a load tool that does not see what a faulty balancer does.
+func TestLoadSeesFaults(t *testing.T) {
+	refusal := []byte("not run")
+	tests := []struct {
+		name    string
+		disturb func(s *system)
+		count   func(s history.Summary) int
+	}{
+		{"work run on two hosts", func(s *system) {
+			s.route = func(*flow.Packet) []int { return []int{0, 1} }
+		}, func(s history.Summary) int { return s.RunsDoubled }},
+		{"packet for another service", func(s *system) {
+			s.servers[0].SetService(serviceID + 1)
+		}, func(s history.Summary) int { return s.PacketsMisdelivered }},
+		{"refused after delivery", func(s *system) {
+			s.answer = func([]byte) []byte { return refusal }
+		}, func(s history.Summary) int { return s.RefusedButRun }},
+		{"answer cut short", func(s *system) {
+			s.answer = func(payload []byte) []byte { return payload[:len(payload)-1] }
+		}, func(s history.Summary) int { return s.AnswersWrong }},
+		{"answers of another flow", func(s *system) {
+			var mu sync.Mutex
+			var last []byte
+			s.answer = func(payload []byte) []byte {
+				mu.Lock()
+				defer mu.Unlock()
+				other := last
+				last = append([]byte(nil), payload...)
+				if other == nil {
+					return payload
+				}
+				return other
+			}
+		}, func(s history.Summary) int { return s.AnswersWrong }},
+		{"established flow lost", func(s *system) {
+			s.route = func(packet *flow.Packet) []int {
+				if r, ok := parsed(packet); ok && r.Sequence == 0 {
+					return []int{0}
+				}
+				return nil
+			}
+		}, func(s history.Summary) int { return s.FlowsBroken }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSystem(t)
+			test.disturb(s)
+			summary := s.load(generator.Config{
+				Transport: s.datagrams(), Flows: 10, Length: 2, Retransmissions: 1, Refusal: refusal,
+			})
+			is.True(test.count(summary) > 0)
+			is.True(len(summary.Violations) > 0)
+		})
+	}
+}
+
+// Guards against flows that outlive the end of the run, and a rate that is not kept.
+func TestLoadEndsInTime(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t)
+	started := time.Now()
+	summary := s.load(generator.Config{
+		Transport: s.datagrams(), Until: started.Add(500 * time.Millisecond), Rate: 100, Length: 1000, IntervalMS: 100,
+	})
+	is.True(time.Since(started) < 5*time.Second)
+	is.True(summary.FlowsOpened <= 51)
+	is.True(summary.FlowsOpened > 0)
+	is.Equal(summary.Violations, []string{})
+}
+
+// Guards against answers that arrive late being taken for those of other
+// requests, and against a held request that runs again when it is retransmitted.
+func TestLateAnswers(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t)
+	for _, server := range s.servers {
+		server.Hold(true)
+	}
+	transport := s.datagrams()
+	s.tasks.Go("release", func(ctx context.Context) error {
+		eventually(t, "no request was held", func() bool {
+			return ctx.Err() != nil || len(s.servers[0].Record())+len(s.servers[1].Record()) == 10
+		})
+		time.Sleep(100 * time.Millisecond) // several retransmissions
+		for _, server := range s.servers {
+			server.Hold(false)
+		}
+		return nil
+	})
+	summary := s.load(generator.Config{Transport: transport, Flows: 10, Length: 2})
+	is.Equal(summary.Violations, []string{})
+	is.Equal(summary.FlowsCompleted, 10)
+	is.True(summary.Retransmissions > 0)
+}
--- /dev/null
+++ b/internal/load/generator/harness_test.go
@@ -0,0 +1,194 @@
+package generator_test
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agateramp/internal/core/flow"
+	"agateramp/internal/load/generator"
+	"agateramp/internal/load/history"
+	"agateramp/internal/load/payload"
+	"agateramp/internal/packet/datagram"
+	"agateramp/internal/packet/geneve"
+	"agateramp/internal/process/group"
+	"agateramp/internal/standin/backend"
+	"agateramp/internal/standin/fabric"
+)
+
+const serviceID = 7
+
+var (
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+	service  = netip.MustParseAddrPort("192.0.2.1:9000")
+)
+
+// system is a fabric, two balancers and two backend servers. The balancers place
+// flows by hash alone; route may disturb that.
+type system struct {
+	t       *testing.T
+	tasks   *group.Group
+	record  *history.History
+	fabric  *fabric.Fabric
+	servers []*backend.Server
+	// route returns the servers that get a packet; nil means the one of its hash.
+	route func(packet *flow.Packet) []int
+	// answer changes an answer; nil means that it is passed on.
+	answer func(payload []byte) []byte
+}
+
+func newSystem(t *testing.T) *system {
+	s := &system{t: t, tasks: group.New(context.Background()), record: history.New()}
+	t.Cleanup(func() {
+		s.tasks.Stop()
+		if err := s.tasks.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	var err error
+	s.fabric, err = fabric.New(fabric.Config{Seed: 1, Group: s.tasks})
+	s.check(err)
+	for i := range 2 {
+		server, err := backend.New(backend.Config{
+			Name: "host-" + strconv.Itoa(i), Service: serviceID, Slots: 8, History: s.record, Group: s.tasks,
+		})
+		s.check(err)
+		s.servers = append(s.servers, server)
+	}
+	return s
+}
+
+func (s *system) check(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) to(packet *flow.Packet) []int {
+	if s.route != nil {
+		return s.route(packet)
+	}
+	return []int{int(packet.Hash % 2)}
+}
+
+// answers passes answers of one host to the callers through a balancer.
+type answers struct {
+	system   *system
+	services *datagram.Services
+}
+
+func (a *answers) HandleAnswer(key flow.Key, payload []byte) {
+	if a.system.answer != nil {
+		payload = a.system.answer(payload)
+	}
+	_ = a.services.Answer(service, key.Source(), payload)
+}
+
+type callers struct {
+	system *system
+	hosts  []*datagram.Flows
+}
+
+func (c *callers) HandleDatagram(packet *flow.Packet) {
+	for _, host := range c.system.to(packet) {
+		if _, err := c.hosts[host].Open(packet.Key, 0); err == nil {
+			_ = c.hosts[host].Send(packet.Key, packet.Payload)
+		}
+	}
+}
+
+// datagrams starts the datagram adapter and returns a transport to it.
+func (s *system) datagrams() generator.Transport {
+	handler := &callers{system: s}
+	answer := &answers{system: s}
+	for i := range 2 {
+		services, err := datagram.NewServices(datagram.ServicesConfig{Handler: handler, Group: s.tasks})
+		s.check(err)
+		if i == 0 {
+			answer.services = services
+			for _, server := range s.servers {
+				address, err := server.ServeUDP(loopback)
+				s.check(err)
+				flows, err := datagram.NewFlows(datagram.FlowsConfig{Backend: address, Handler: answer, Group: s.tasks})
+				s.check(err)
+				handler.hosts = append(handler.hosts, flows)
+			}
+		}
+		bound, err := services.Bind(service, loopback)
+		s.check(err)
+		s.fabric.Add(fabric.Balancer{Name: strconv.Itoa(i), Services: map[netip.AddrPort]netip.AddrPort{service: bound}})
+	}
+	target, err := s.fabric.BindService(service, loopback)
+	s.check(err)
+	transport, err := generator.NewDatagram(target)
+	s.check(err)
+	return transport
+}
+
+type forwarder struct {
+	system  *system
+	tunnels []*backend.Tunnel
+}
+
+func (f *forwarder) HandleFrame(w *geneve.Writer, _ netip.AddrPort, _ *flow.Header, packet *flow.Packet) {
+	for _, host := range f.system.to(packet) {
+		_ = w.Send(f.tunnels[host].Address(), nil, packet.Data)
+	}
+}
+
+// geneve starts the Geneve adapter and returns a transport to it.
+func (s *system) geneve(tcp bool) generator.Transport {
+	port, err := s.fabric.ListenGeneve(loopback)
+	s.check(err)
+	port.Route(service)
+	handler := &forwarder{system: s}
+	for _, server := range s.servers {
+		tunnel, err := backend.NewTunnel(backend.TunnelConfig{Listen: loopback, Fabric: port.Address(), Server: server})
+		s.check(err)
+		handler.tunnels = append(handler.tunnels, tunnel)
+	}
+	for i := range 2 {
+		balancer, err := geneve.New(geneve.Config{Listen: loopback, Handler: handler, Group: s.tasks})
+		s.check(err)
+		balancer.Start()
+		s.fabric.Add(fabric.Balancer{Name: strconv.Itoa(i), Data: balancer.Address()})
+	}
+	transport, err := generator.NewGeneve(generator.GeneveConfig{
+		Listen: loopback, Fabric: port.Address(), Service: service, TCP: tcp, Ports: 60,
+		Caller: netip.MustParseAddr("198.51.100.1"), Group: s.tasks,
+	})
+	s.check(err)
+	return transport
+}
+
+func (s *system) load(cfg generator.Config) history.Summary {
+	cfg.Service, cfg.History, cfg.Seed = serviceID, s.record, 3
+	cfg.RetransmitMS, cfg.BodySize = 30, 300
+	g, err := generator.New(cfg)
+	s.check(err)
+	summary, err := g.Run(context.Background())
+	s.check(err)
+	return summary
+}
+
+// parsed returns the request in a packet; other packets give false.
+func parsed(packet *flow.Packet) (payload.Request, bool) {
+	r, _, err := payload.ParseRequest(packet.Payload)
+	return r, err == nil
+}
+
+// eventually waits for a condition that other goroutines bring about.
+func eventually(t *testing.T, what string, condition func() bool) {
+	is := is.New(t)
+	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			is.Fail() // condition was not met
+			t.Fatal(what)
+		}
+	}
+}
--- a/internal/packet/geneve/port.go
+++ b/internal/packet/geneve/port.go
@@ -63,8 +63,8 @@
 	next    atomic.Uint32
 }
 
-// New opens the sockets of a port and starts its readers. They end when the
-// context of the group does.
+// New opens the sockets of a port. They are closed when the context of the group
+// ends. Frames that arrive before Start wait in the sockets.
 func New(cfg Config) (p *Port, err error) {
 	defer func() { err = errors.WithMessage(err, "open geneve port") }()
 	if !cfg.Listen.IsValid() || cfg.Handler == nil || cfg.Group == nil {
@@ -93,9 +93,6 @@
 		p.sockets = append(p.sockets, socket)
 		p.address = netip.AddrPortFrom(cfg.Listen.Addr().Unmap(), uint16(socket.LocalAddr().(*net.UDPAddr).Port))
 	}
-	for i, socket := range p.sockets {
-		cfg.Group.Go("geneve reader "+strconv.Itoa(i), func(ctx context.Context) error { return p.read(ctx, socket) })
-	}
 	cfg.Group.Go("geneve close", func(ctx context.Context) error {
 		<-ctx.Done()
 		p.close()
@@ -104,6 +101,13 @@
 	return p, nil
 }
 
+// Start starts the readers. It is called once, when the handler may run.
+func (p *Port) Start() {
+	for i, socket := range p.sockets {
+		p.cfg.Group.Go("geneve reader "+strconv.Itoa(i), func(ctx context.Context) error { return p.read(ctx, socket) })
+	}
+}
+
 // Listen opens a UDP socket with a large receive buffer. A shared socket lets
 // others of this user bind the same address.
 func Listen(address netip.AddrPort, shared bool) (socket *net.UDPConn, err error) {
--- a/internal/packet/geneve/port_test.go
+++ b/internal/packet/geneve/port_test.go
@@ -58,6 +58,8 @@
 		}),
 	})
 	is.NoErr(err)
+	server.Start()
+	client.Start()
 	inner, err := geneve.AppendUDP(nil, source4, destination4, []byte("ping"))
 	is.NoErr(err)
 	is.NoErr(client.Send(server.Address(), &flow.Header{ServiceID: 1}, inner))
