--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -22,6 +22,7 @@
 
 // cli is the command tree; each field's type stands in the file of its command.
 type cli struct {
+	Load    loadCommand    `cmd:"" help:"Send flows to a running system and print what was seen."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
