--- a/internal/packet/geneve/port.go
+++ b/internal/packet/geneve/port.go
@@ -82,7 +82,7 @@
 	p = &Port{cfg: cfg, address: cfg.Listen}
 	p.writers.New = func() any {
 		socket := p.sockets[int(p.next.Add(1))%len(p.sockets)]
-		return newWriter(socket, p.cfg.MaxFrame)
+		return newWriter(socket, p.cfg.MaxFrame, -1)
 	}
 	for range cfg.Workers {
 		socket, err := Listen(p.address, cfg.Workers > 1)
@@ -104,7 +104,8 @@
 // Start starts the readers. It is called once, when the handler may run.
 func (p *Port) Start() {
 	for i, socket := range p.sockets {
-		p.cfg.Group.Go("geneve reader "+strconv.Itoa(i), func(ctx context.Context) error { return p.read(ctx, socket) })
+		w := newWriter(socket, p.cfg.MaxFrame, i)
+		p.cfg.Group.Go("geneve reader "+strconv.Itoa(i), func(ctx context.Context) error { return p.read(ctx, w) })
 	}
 }
 
@@ -154,16 +155,15 @@
 	}
 }
 
-func (p *Port) read(ctx context.Context, socket *net.UDPConn) error {
+func (p *Port) read(ctx context.Context, w *Writer) error {
 	var (
 		decoder Decoder
 		header  flow.Header
 		packet  flow.Packet
 		buffer  = make([]byte, p.cfg.MaxFrame)
-		w       = newWriter(socket, p.cfg.MaxFrame)
 	)
 	for {
-		n, _, flags, from, err := socket.ReadMsgUDPAddrPort(buffer, nil)
+		n, _, flags, from, err := w.socket.ReadMsgUDPAddrPort(buffer, nil)
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
@@ -208,12 +208,16 @@
 type Writer struct {
 	socket *net.UDPConn
 	buffer []byte
+	worker int
 }
 
-func newWriter(socket *net.UDPConn, size int) *Writer {
-	return &Writer{socket: socket, buffer: make([]byte, 0, size+MaxOverhead)}
+func newWriter(socket *net.UDPConn, size, worker int) *Writer {
+	return &Writer{socket: socket, buffer: make([]byte, 0, size+MaxOverhead), worker: worker}
 }
 
+// Worker returns the number of the worker, from 0, that the writer belongs to.
+func (w *Writer) Worker() int { return w.worker }
+
 // Send sends a frame to a peer.
 func (w *Writer) Send(to netip.AddrPort, header *flow.Header, inner []byte) (err error) {
 	w.buffer, err = AppendFrame(w.buffer[:0], header, inner)
