geneve: Move frames in batches

Change: Readers and their writers use ReadBatch and WriteBatch of golang.org/x/net with 16 datagrams; the relay of the bound does as well. ReadBatch allocates the source address of each datagram, which the codec itself does not.

--- a/internal/packet/geneve/port.go
+++ b/internal/packet/geneve/port.go
@@ -6,11 +6,11 @@
 	"net/netip"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/ipv4"
 	"golang.org/x/sys/unix"
 
 	"agateramp/internal/core/flow"
@@ -28,7 +28,8 @@
 type Handler interface {
 	// HandleFrame takes a frame from a peer. The header is nil if the frame has
 	// none. Header and packet are valid until it returns. The workers of a port
-	// call it concurrently, each with its own writer.
+	// call it concurrently, each with its own writer. It must not block: frames sent
+	// with the writer leave when all frames of the batch are handled.
 	HandleFrame(w *Writer, from netip.AddrPort, header *flow.Header, packet *flow.Packet)
 }
 
@@ -59,8 +60,7 @@
 	cfg     Config
 	address netip.AddrPort
 	sockets []*net.UDPConn
-	writers sync.Pool
-	next    atomic.Uint32
+	buffers sync.Pool
 }
 
 // New opens the sockets of a port. They are closed when the context of the group
@@ -80,9 +80,9 @@
 		cfg.Dropped = func(flow.Reason) {}
 	}
 	p = &Port{cfg: cfg, address: cfg.Listen}
-	p.writers.New = func() any {
-		socket := p.sockets[int(p.next.Add(1))%len(p.sockets)]
-		return newWriter(socket, p.cfg.MaxFrame, -1)
+	p.buffers.New = func() any {
+		b := make([]byte, 0, p.cfg.MaxFrame+MaxOverhead)
+		return &b
 	}
 	for range cfg.Workers {
 		socket, err := Listen(p.address, cfg.Workers > 1)
@@ -142,11 +142,18 @@
 // Address returns the address that the port is bound to.
 func (p *Port) Address() netip.AddrPort { return p.address }
 
-// Send sends a frame to a peer. It may be called concurrently, also by handlers.
-func (p *Port) Send(to netip.AddrPort, header *flow.Header, inner []byte) error {
-	w := p.writers.Get().(*Writer)
-	defer p.writers.Put(w)
-	return w.Send(to, header, inner)
+// Send sends a frame to a peer at once. It may be called concurrently. Handlers
+// use their writer, which sends in batches.
+func (p *Port) Send(to netip.AddrPort, header *flow.Header, inner []byte) (err error) {
+	buffer := p.buffers.Get().(*[]byte)
+	defer p.buffers.Put(buffer)
+	*buffer, err = AppendFrame((*buffer)[:0], header, inner)
+	if err != nil {
+		return err
+	}
+	// Frames to one peer leave from one socket, so that they stay in order.
+	_, err = p.sockets[int(to.Port())%len(p.sockets)].WriteToUDPAddrPort(*buffer, to)
+	return errors.WithStack(err)
 }
 
 func (p *Port) close() {
@@ -156,74 +163,57 @@
 }
 
 func (p *Port) read(ctx context.Context, w *Writer) error {
+	batch := newBatch(w.batch.conn, p.cfg.MaxFrame)
 	var (
 		decoder Decoder
 		header  flow.Header
 		packet  flow.Packet
-		buffer  = make([]byte, p.cfg.MaxFrame)
 	)
 	for {
-		n, _, flags, from, err := w.socket.ReadMsgUDPAddrPort(buffer, nil)
+		n, err := batch.conn.ReadBatch(batch.messages, 0)
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
 			// ICMP errors of earlier sends are reported here and concern one peer only.
 			if !Transient(err) {
-				return errors.Wrap(err, "read frame")
+				return errors.Wrap(err, "read frames")
 			}
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		if p.cfg.Accept != nil && !p.cfg.Accept(from) {
-			p.cfg.Dropped(flow.ReasonForeignPeer)
-			continue
-		}
-		if flags&unix.MSG_TRUNC != 0 {
-			p.cfg.Dropped(flow.ReasonMalformed)
-			continue
-		}
-		withHeader, err := decoder.Decode(buffer[:n], &header, &packet)
-		if err != nil {
-			p.cfg.Dropped(ReasonOf(err))
-			continue
-		}
-		if withHeader {
-			p.cfg.Handler.HandleFrame(w, from, &header, &packet)
-		} else {
-			p.cfg.Handler.HandleFrame(w, from, nil, &packet)
+		for i := range batch.messages[:n] {
+			p.handle(w, &batch.messages[i], &decoder, &header, &packet)
 		}
+		w.flush()
 	}
 }
 
+func (p *Port) handle(w *Writer, m *ipv4.Message, decoder *Decoder, header *flow.Header, packet *flow.Packet) {
+	from := m.Addr.(*net.UDPAddr).AddrPort()
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	if p.cfg.Accept != nil && !p.cfg.Accept(from) {
+		p.cfg.Dropped(flow.ReasonForeignPeer)
+		return
+	}
+	if m.Flags&unix.MSG_TRUNC != 0 {
+		p.cfg.Dropped(flow.ReasonMalformed)
+		return
+	}
+	withHeader, err := decoder.Decode(m.Buffers[0][:m.N], header, packet)
+	if err != nil {
+		p.cfg.Dropped(ReasonOf(err))
+		return
+	}
+	if !withHeader {
+		header = nil
+	}
+	p.cfg.Handler.HandleFrame(w, from, header, packet)
+}
+
 // Transient reports whether a socket error concerns one datagram or peer only, so
 // that the socket stays usable.
 func Transient(err error) bool {
 	return errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.EINTR) ||
 		errors.Is(err, unix.EHOSTUNREACH) || errors.Is(err, unix.ENETUNREACH) || errors.Is(err, unix.ENOMEM)
 }
-
-// Writer sends frames from one socket. It is not safe for concurrent use.
-type Writer struct {
-	socket *net.UDPConn
-	buffer []byte
-	worker int
-}
-
-func newWriter(socket *net.UDPConn, size, worker int) *Writer {
-	return &Writer{socket: socket, buffer: make([]byte, 0, size+MaxOverhead), worker: worker}
-}
-
-// Worker returns the number of the worker, from 0, that the writer belongs to.
-func (w *Writer) Worker() int { return w.worker }
-
-// Send sends a frame to a peer.
-func (w *Writer) Send(to netip.AddrPort, header *flow.Header, inner []byte) (err error) {
-	w.buffer, err = AppendFrame(w.buffer[:0], header, inner)
-	if err != nil {
-		return err
-	}
-	_, err = w.socket.WriteToUDPAddrPort(w.buffer, to)
-	return errors.WithStack(err)
-}
--- a/internal/packet/geneve/port_test.go
+++ b/internal/packet/geneve/port_test.go
@@ -87,3 +87,48 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a port that works with IPv4 only, and against frames lost or
+// reordered when more arrive than one batch holds.
+func TestPortIPv6KeepsOrder(t *testing.T) {
+	is := is.New(t)
+	tasks := group.New(context.Background())
+	defer func() { tasks.Stop(); is.NoErr(tasks.Wait()) }()
+	local := netip.MustParseAddrPort("[::1]:0")
+	const count = 100
+	got := make(chan int, count)
+	sink, err := geneve.New(geneve.Config{
+		Listen: local, Group: tasks,
+		Handler: handler(func(_ *geneve.Writer, _ netip.AddrPort, header *flow.Header, _ *flow.Packet) {
+			got <- int(header.Version)
+		}),
+	})
+	is.NoErr(err)
+	relay, err := geneve.New(geneve.Config{
+		Listen: local, Group: tasks,
+		Handler: handler(func(w *geneve.Writer, from netip.AddrPort, header *flow.Header, packet *flow.Packet) {
+			if from != sink.Address() {
+				t.Errorf("from %v", from)
+			}
+			if err := w.Send(sink.Address(), header, packet.Data); err != nil {
+				t.Error(err)
+			}
+		}),
+	})
+	is.NoErr(err)
+	inner, err := geneve.AppendUDP(nil, source6, destination6, []byte("ping"))
+	is.NoErr(err)
+	for i := range count {
+		is.NoErr(sink.Send(relay.Address(), &flow.Header{Version: uint64(i)}, inner))
+	}
+	relay.Start()
+	sink.Start()
+	for i := range count {
+		select {
+		case version := <-got:
+			is.Equal(version, i)
+		case <-time.After(5 * time.Second):
+			t.Fatalf("frame %d did not arrive", i)
+		}
+	}
+}
