geneve: Send the load of the forward bound in batches

Cause: Two senders for each worker needed more cores than the machine has from 4 workers on, so the benchmark showed the senders' scaling. Change: One sender for each worker sends batches.

--- a/internal/packet/geneve/forward_test.go
+++ b/internal/packet/geneve/forward_test.go
@@ -24,11 +24,8 @@
 )
 
 const (
-	forwardServices = 390
-	forwardHosts    = 19
-	// sendersPerWorker keeps a worker busy: sending to it takes about as long as
-	// its own send.
-	sendersPerWorker = 2
+	forwardServices  = 390
+	forwardHosts     = 19
 	socketsPerSender = 32
 	measureTime      = 150 * time.Millisecond
 )
@@ -164,7 +161,7 @@
 
 // sender floods paths with frames of random flows of all services.
 type sender struct {
-	sockets []*net.UDPConn
+	sockets []*ipv4.PacketConn
 	frames  [][]byte
 }
 
@@ -177,7 +174,7 @@
 			<-ctx.Done()
 			return socket.Close()
 		})
-		s.sockets = append(s.sockets, socket)
+		s.sockets = append(s.sockets, ipv4.NewPacketConn(socket))
 	}
 	for i := range 4096 {
 		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, byte(number), byte(i)}), uint16(1024+i))
@@ -190,10 +187,19 @@
 	return s
 }
 
+// flood sends batches from one socket after the other. It takes less time for a
+// packet than a worker, which receives and sends, so one sender keeps it busy.
 func (s *sender) flood(to netip.AddrPort, stop *atomic.Bool) {
+	messages := make([]ipv4.Message, 16)
+	address := net.UDPAddrFromAddrPort(to)
+	next := 0
 	for i := 0; !stop.Load(); i++ {
+		for m := range messages {
+			messages[m].Buffers, messages[m].Addr = s.frames[next%len(s.frames):next%len(s.frames)+1], address
+			next++
+		}
 		// A full socket buffer of the path drops frames, so senders never wait.
-		_, _ = s.sockets[i%len(s.sockets)].WriteToUDPAddrPort(s.frames[i%len(s.frames)], to)
+		_, _ = s.sockets[i%len(s.sockets)].WriteBatch(messages, 0)
 	}
 }
 
@@ -219,7 +225,7 @@
 		hosts = append(hosts, socket.LocalAddr().(*net.UDPAddr).AddrPort())
 	}
 	b := &bench{balancer: newBalancerPath(tb, tasks, workers, hosts), relay: newRelayPath(tb, tasks, workers, hosts)}
-	for i := range workers * sendersPerWorker {
+	for i := range workers {
 		b.senders = append(b.senders, newSender(tb, tasks, i))
 	}
 	return b
