load, geneve: Count idle hosts and refuse a shared address

Cause: Hosts without work were missing from the imbalance, and a second process could bind the address of a port with several workers unnoticed.

--- a/internal/packet/geneve/port.go
+++ b/internal/packet/geneve/port.go
@@ -84,6 +84,14 @@
 		b := make([]byte, 0, p.cfg.MaxFrame+MaxOverhead)
 		return &b
 	}
+	if cfg.Workers > 1 && cfg.Listen.Port() != 0 {
+		// With SO_REUSEPORT a second process would take part of the packets unnoticed.
+		probe, err := Listen(cfg.Listen, false)
+		if err != nil {
+			return nil, err
+		}
+		_ = probe.Close()
+	}
 	for range cfg.Workers {
 		socket, err := Listen(p.address, cfg.Workers > 1)
 		if err != nil {
--- a/internal/packet/geneve/port_test.go
+++ b/internal/packet/geneve/port_test.go
@@ -58,6 +58,11 @@
 		}),
 	})
 	is.NoErr(err)
+	_, err = geneve.New(geneve.Config{
+		Listen: server.Address(), Workers: 2, Group: tasks,
+		Handler: handler(func(*geneve.Writer, netip.AddrPort, *flow.Header, *flow.Packet) {}),
+	})
+	is.True(err != nil) // the address is in use
 	server.Start()
 	client.Start()
 	inner, err := geneve.AppendUDP(nil, source4, destination4, []byte("ping"))
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -97,6 +97,9 @@
 		perRequest: make(map[uint64]int), connections: make(map[any]*connection),
 	}
 	s.changed = sync.NewCond(&s.mu)
+	if cfg.History != nil {
+		cfg.History.Host(cfg.Name, uint32(cfg.Slots))
+	}
 	cfg.Group.Go("backend "+cfg.Name+" stop", func(ctx context.Context) error {
 		<-ctx.Done()
 		s.mu.Lock()
