control: Add control streams over yamux

Cause: agents, balancers and shard holders need streams that notice a frozen or cut peer within 2 s and that never block the sender. Change: internal/control/peer carries length-prefixed frames of at most 1 MB over one yamux stream per TCP connection, with optional TLS. The dialling side pings and both sides end a silent stream; streams between balancers ping every 5 s, because a shard holder has one from every balancer. Conclusion: usable by the agent, balancer and directory packages.

--- /dev/null
+++ b/internal/control/peer/dialer.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+)
+
+const (
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
+
+// Dialer keeps one control stream to a target.
+type Dialer struct{ config Config }
+
+// Dial keeps one stream to config.Target open until Close. It returns at once;
+// the handler learns of each stream.
+func Dial(config Config) (d *Dialer, err error) {
+	defer func() { err = errors.WithMessagef(err, "dial control stream to %q", config.Target) }()
+	if err = config.validate(); err != nil {
+		return nil, err
+	}
+	if config.Target == "" {
+		return nil, errors.New("Target must be set")
+	}
+	d = &Dialer{config: config}
+	d.config.start("control dialer")
+	d.config.tasks.Go("dial", d.run)
+	return d, nil
+}
+
+// Target returns the address that the dialer connects to.
+func (d *Dialer) Target() string { return d.config.Target }
+
+// Close ends the stream and waits for the calls of the handler to return. It
+// must not be called from the handler.
+func (d *Dialer) Close() error {
+	d.Stop()
+	return d.config.tasks.Wait()
+}
+
+// Stop ends the stream without waiting. It may be called from the handler.
+func (d *Dialer) Stop() { d.config.tasks.Stop() }
+
+func (d *Dialer) run(ctx context.Context) error {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		opened := time.Now()
+		p, err := d.connect(ctx)
+		if err == nil {
+			d.config.serve(ctx, p)
+			if time.Since(opened) > maxBackoff {
+				backoff = minBackoff
+			}
+		} else if ctx.Err() == nil {
+			_ = level.Debug(d.config.Logger).Log("msg", "control stream not opened", "err", err)
+		}
+		// Half of the wait is random, so that streams cut together do not return together.
+		wait := backoff/2 + rand.N(backoff)
+		backoff = min(2*backoff, maxBackoff)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return nil
+}
+
+func (d *Dialer) connect(ctx context.Context) (p *Peer, err error) {
+	dialer := net.Dialer{Timeout: handshakeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", d.config.Target)
+	if err != nil {
+		return nil, err
+	}
+	return d.config.open(conn, true)
+}
--- /dev/null
+++ b/internal/control/peer/server.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+)
+
+// acceptPause lets a process that is out of file descriptors recover.
+const acceptPause = 50 * time.Millisecond
+
+// Server accepts control streams.
+type Server struct {
+	config   Config
+	listener net.Listener
+}
+
+// Listen accepts control streams at config.Address.
+func Listen(config Config) (s *Server, err error) {
+	defer func() { err = errors.WithMessagef(err, "listen for control streams at %q", config.Address) }()
+	if err = config.validate(); err != nil {
+		return nil, err
+	}
+	if config.Address == "" {
+		return nil, errors.New("Address must be set")
+	}
+	listener, err := net.Listen("tcp", config.Address)
+	if err != nil {
+		return nil, err
+	}
+	s = &Server{config: config, listener: listener}
+	s.config.start("control server")
+	s.config.tasks.Go("accept", s.accept)
+	s.config.tasks.Go("close", func(ctx context.Context) error {
+		<-ctx.Done()
+		return listener.Close()
+	})
+	return s, nil
+}
+
+// Address returns the address on which the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends every stream and waits for the calls of the handler to return. It
+// must not be called from the handler.
+func (s *Server) Close() error {
+	s.config.tasks.Stop()
+	return s.config.tasks.Wait()
+}
+
+func (s *Server) accept(ctx context.Context) error {
+	for {
+		conn, err := s.listener.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
+			return nil
+		}
+		if err != nil {
+			_ = level.Warn(s.config.Logger).Log("msg", "accept control stream", "err", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(acceptPause):
+			}
+			continue
+		}
+		s.config.tasks.Go("stream", func(ctx context.Context) error {
+			p, err := s.config.open(conn, false)
+			if err != nil {
+				_ = level.Info(s.config.Logger).Log("msg", "control stream refused", "err", err)
+				return nil
+			}
+			s.config.serve(ctx, p)
+			return nil
+		})
+	}
+}
