role: Add the data paths of balancer and agent

Cause: the decision cores and the packet adapters need something that joins them on real sockets. Change: balancer.DataPath (fabric and datagram input, answers, refusals, resets, hints) and the agent's dispatcher (packets and events to the owner, effects to sockets and peers).

--- /dev/null
+++ b/internal/role/agent/path_test.go
@@ -0,0 +1,161 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/owner"
+	"agateramp/internal/load/generator"
+	"agateramp/internal/process/group"
+	"agateramp/internal/process/metrics"
+	"agateramp/internal/process/settings"
+	"agateramp/internal/role/balancer"
+	"agateramp/internal/standin/backend"
+	"agateramp/internal/standin/fabric"
+)
+
+var (
+	loopback       = netip.MustParseAddrPort("127.0.0.1:0")
+	serviceAddress = netip.MustParseAddrPort("203.0.113.1:7000")
+)
+
+// directPeers hands reports to the other dispatchers of the test.
+type directPeers struct {
+	self  netip.AddrPort
+	all   map[netip.AddrPort]*dispatcher
+	ready *atomic.Bool
+}
+
+func (p *directPeers) report(effect owner.Effect) {
+	switch e := effect.(type) {
+	case *owner.Report:
+		p.all[e.To].event(owner.ReportReceived{Peer: p.self, Report: e.Report})
+	case *owner.ReportAck:
+		p.all[e.To].event(owner.ReportAcked{Peer: p.self, Sequence: e.Sequence})
+	}
+}
+
+func (p *directPeers) acknowledge(*owner.Acknowledge) {}
+
+func (p *directPeers) accepts(netip.AddrPort) bool { return p.ready.Load() }
+
+func (p *directPeers) returnAddress(wanted netip.AddrPort) netip.AddrPort { return wanted }
+
+// path is a fabric, three balancers and four agents with their backend servers.
+type path struct {
+	fabric    *fabric.Fabric
+	entry     netip.AddrPort
+	balancers []*balancer.DataPath
+}
+
+func newPath(t *testing.T, tasks *group.Group) *path {
+	t.Helper()
+	f, err := fabric.New(fabric.Config{Seed: 1, Group: tasks})
+	check(t, err)
+	p := &path{fabric: f}
+	p.entry, err = f.BindService(serviceAddress, loopback)
+	check(t, err)
+	for i := range 3 {
+		p.balancers = append(p.balancers, newBalancer(t, tasks, f, fmt.Sprintf("balancer-%d", i)))
+	}
+	spec := &controlpb.TableSpec{ServiceId: 1, ConfigVersion: 1, Versions: []*controlpb.TableVersion{{Version: 1}}, Service: &controlpb.Service{
+		Id: 1, Name: "studio", FirstPacket: controlpb.FirstPacket_FIRST_PACKET_ANY, QueueDeadlineMs: 1000,
+		Addresses: []*controlpb.ServiceAddress{{Address: serviceAddress.String(), Protocol: 17}},
+	}}
+	all := make(map[netip.AddrPort]*dispatcher)
+	ready := new(atomic.Bool)
+	for i := range 4 {
+		d := newAgent(t, tasks, &directPeers{all: all, ready: ready}, i+1)
+		all[d.port.Address()] = d
+		spec.Versions[0].Members = append(spec.Versions[0].Members, &controlpb.Member{
+			Host: fmt.Sprintf("host-%d", i), Address: d.port.Address().String(), Weight: uint32(1000 * (i + 1)), Incarnation: 1, Slots: 2,
+		})
+	}
+	ready.Store(true)
+	for _, d := range all {
+		d.update(spec)
+		for peer := range all {
+			if peer != d.port.Address() {
+				d.event(owner.PeerConnected{Peer: peer})
+			}
+		}
+		d.start(tasks)
+	}
+	for _, b := range p.balancers {
+		_, err := b.Update(spec)
+		check(t, err)
+	}
+	return p
+}
+
+func newBalancer(t *testing.T, tasks *group.Group, f *fabric.Fabric, name string) *balancer.DataPath {
+	t.Helper()
+	b, err := balancer.NewDataPath(balancer.DataPathConfig{
+		Settings: &settings.Balancer{
+			Common:        settings.Common{Name: name, DataAddress: loopback},
+			DatagramBinds: []settings.DatagramBind{{ServiceAddress: serviceAddress, BindAddress: loopback}},
+		},
+		Logger: log.NewNopLogger(), Metrics: metrics.New(), Group: tasks,
+	})
+	check(t, err)
+	f.Add(fabric.Balancer{Name: name, Data: b.Address(), Services: b.Bound()})
+	return b
+}
+
+func newAgent(t *testing.T, tasks *group.Group, peers *directPeers, slots int) *dispatcher {
+	t.Helper()
+	s, err := backend.New(backend.Config{Name: fmt.Sprintf("host-%d", slots), Service: 1, Slots: slots, Group: tasks})
+	check(t, err)
+	address, err := s.ServeUDP(loopback)
+	check(t, err)
+	d, err := newDispatcher(dataPathConfig{
+		settings: &settings.Agent{
+			Common:  settings.Common{DataAddress: loopback},
+			Backend: settings.Backend{Mode: settings.ModeDatagram, Address: address, Slots: slots, Connections: 2000},
+		},
+		peers: peers, logger: log.NewNopLogger(), metrics: metrics.New(), group: tasks,
+	})
+	check(t, err)
+	peers.self = d.port.Address()
+	return d
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a flow that breaks because its packets came through several
+// balancers, one of which was removed.
+func TestFlowsSurviveRemovedBalancer(t *testing.T) {
+	is := is.New(t)
+	tasks := group.New(context.Background())
+	t.Cleanup(func() {
+		tasks.Stop()
+		is.NoErr(tasks.Wait())
+	})
+	p := newPath(t, tasks)
+	transport, err := generator.NewDatagram(p.entry)
+	is.NoErr(err)
+	g, err := generator.New(generator.Config{
+		Transport: transport, Service: 1, Idempotent: true, Flows: 200, Concurrency: 50, Length: 10, IntervalMS: 10, Seed: 1,
+	})
+	is.NoErr(err)
+	removal := time.AfterFunc(50*time.Millisecond, func() { p.fabric.Remove("balancer-0") })
+	defer removal.Stop()
+	summary, err := g.Run(context.Background())
+	is.NoErr(err)
+	is.Equal(len(summary.Violations), 0)
+	is.Equal(summary.FlowsBroken, 0)
+	is.Equal(summary.FlowsOpened, 200)
+}
--- /dev/null
+++ b/internal/role/balancer/forward.go
@@ -0,0 +1,215 @@
+package balancer
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+	"agateramp/internal/core/router"
+	"agateramp/internal/packet/datagram"
+	"agateramp/internal/packet/geneve"
+	"agateramp/internal/process/logging"
+	"agateramp/internal/process/metrics"
+)
+
+// protocolTCP is the IP protocol number of TCP.
+const protocolTCP = 6
+
+// frameSender sends a frame: the port at once, a worker's writer in batches.
+type frameSender interface {
+	Send(to netip.AddrPort, header *flow.Header, inner []byte) error
+}
+
+var (
+	_ frameSender = (*geneve.Port)(nil)
+	_ frameSender = (*geneve.Writer)(nil)
+)
+
+// forwarder is the data path of a balancer. It takes packets of callers from
+// the fabric and from datagram sockets, and answers of agents.
+type forwarder struct {
+	router   *router.Router
+	port     *geneve.Port
+	services *datagram.Services
+	metrics  *metrics.Registry
+	limited  *logging.Limited
+	fabrics  map[netip.AddrPort]struct{}
+	// fabric takes packets to callers; it is the zero value without a fabric.
+	fabric    netip.AddrPort
+	agents    atomic.Pointer[map[netip.AddrPort]struct{}]
+	scratches sync.Pool
+}
+
+// workspace is the memory of one decision.
+type workspace struct {
+	scratch router.Scratch
+	decoder geneve.Decoder
+	buffer  []byte
+}
+
+var (
+	_ geneve.Handler         = (*forwarder)(nil)
+	_ datagram.CallerHandler = (*forwarder)(nil)
+)
+
+// accept reports whether frames of a peer are taken.
+func (f *forwarder) accept(peer netip.AddrPort) bool {
+	if _, ok := f.fabrics[peer]; ok {
+		return true
+	}
+	_, ok := (*f.agents.Load())[peer]
+	return ok
+}
+
+// HandleFrame takes a frame from the fabric or an agent.
+func (f *forwarder) HandleFrame(w *geneve.Writer, from netip.AddrPort, header *flow.Header, packet *flow.Packet) {
+	_, fabric := f.fabrics[from]
+	if header == nil && fabric {
+		f.forward(w, packet)
+		return
+	}
+	if header == nil || fabric {
+		f.dropped(flow.ReasonForeignPeer)
+		return
+	}
+	f.answer(w, from, header, packet)
+}
+
+// HandleDatagram takes a datagram of a caller from a service socket.
+func (f *forwarder) HandleDatagram(packet *flow.Packet) {
+	f.forward(f.port, packet)
+}
+
+func (f *forwarder) forward(out frameSender, packet *flow.Packet) {
+	space := f.scratches.Get().(*workspace)
+	defer f.scratches.Put(space)
+	switch d := f.router.Decide(time.Now(), packet, &space.scratch).(type) {
+	case *router.Forward:
+		f.sent(out.Send(d.To, &d.Header, packet.Data))
+	case *router.Refuse:
+		f.metrics.Count(metrics.OutcomeRefused, d.Reason)
+		f.refuse(out, space, packet)
+	case *router.Drop:
+		f.dropped(d.Reason)
+	}
+}
+
+// answer takes a frame of an agent for a caller or for the hint cache.
+func (f *forwarder) answer(out frameSender, from netip.AddrPort, header *flow.Header, packet *flow.Packet) {
+	space := f.scratches.Get().(*workspace)
+	defer f.scratches.Put(space)
+	switch header.Kind {
+	case flow.KindReply:
+		f.toCaller(out, packet.Key.Source(), packet.Key.Destination(), packet)
+	case flow.KindRefuse:
+		f.metrics.Counter("refusals.sent").Inc(1)
+		f.refuse(out, space, packet)
+	case flow.KindReset:
+		f.metrics.Counter("resets.sent").Inc(1)
+		f.reset(out, space, packet)
+	case flow.KindHint:
+		f.router.Hint(time.Now(), packet.Key, from)
+	case flow.KindForward:
+		f.dropped(flow.ReasonForeignPeer)
+	}
+}
+
+// toCaller sends a whole IP packet from a service to a caller.
+func (f *forwarder) toCaller(out frameSender, service, caller netip.AddrPort, packet *flow.Packet) {
+	err := f.services.Answer(service, caller, packet.Payload)
+	if !errors.Is(err, datagram.ErrNotBound) {
+		f.sent(err)
+		return
+	}
+	f.toFabric(out, packet.Data)
+}
+
+func (f *forwarder) toFabric(out frameSender, data []byte) {
+	if !f.fabric.IsValid() {
+		f.dropped(flow.ReasonUnknownService)
+		return
+	}
+	f.sent(out.Send(f.fabric, nil, data))
+}
+
+// refuse tells the caller of packet that its work was not run: by a TCP reset,
+// or by the refusal payload of the service if it has one.
+func (f *forwarder) refuse(out frameSender, space *workspace, packet *flow.Packet) {
+	if packet.Key.Protocol() == protocolTCP {
+		f.reset(out, space, packet)
+		return
+	}
+	service := f.router.Service(packet.Key.Protocol(), packet.Key.Destination())
+	if service == nil || len(service.GetRefusal()) == 0 {
+		return
+	}
+	caller, address := packet.Key.Source(), packet.Key.Destination()
+	err := f.services.Answer(address, caller, service.GetRefusal())
+	if !errors.Is(err, datagram.ErrNotBound) {
+		f.sent(err)
+		return
+	}
+	data, err := geneve.AppendUDP(space.buffer[:0], address, caller, service.GetRefusal())
+	if err != nil {
+		f.dropped(geneve.ReasonOf(err))
+		return
+	}
+	space.buffer = data
+	f.toFabric(out, data)
+}
+
+// reset answers a TCP packet with a reset. Other protocols have none.
+func (f *forwarder) reset(out frameSender, space *workspace, packet *flow.Packet) {
+	if packet.Key.Protocol() != protocolTCP {
+		return
+	}
+	data, err := space.decoder.AppendReset(space.buffer[:0], packet.Data)
+	if err != nil {
+		f.dropped(geneve.ReasonOf(err))
+		return
+	}
+	space.buffer = data
+	f.toFabric(out, data)
+}
+
+// update takes a table spec into use.
+func (f *forwarder) update(spec *controlpb.TableSpec) (applied bool, err error) {
+	applied, err = f.router.Update(spec)
+	if applied {
+		f.refreshAgents()
+	}
+	return applied, err
+}
+
+// refreshAgents collects the agents of all tables, whose frames are accepted.
+func (f *forwarder) refreshAgents() {
+	agents := make(map[netip.AddrPort]struct{})
+	for _, version := range f.router.Versions() {
+		t := f.router.Table(version.GetServiceId())
+		if t == nil {
+			continue
+		}
+		for _, address := range t.Addresses() {
+			agents[address] = struct{}{}
+		}
+	}
+	f.agents.Store(&agents)
+}
+
+func (f *forwarder) dropped(reason flow.Reason) {
+	f.metrics.Count(metrics.OutcomeDropped, reason)
+	f.limited.Warn(time.Now(), "packet_dropped", "reason", reason)
+}
+
+func (f *forwarder) sent(err error) {
+	if err == nil {
+		return
+	}
+	f.metrics.Counter("sends.failed").Inc(1)
+	f.limited.Warn(time.Now(), "send_failed", "err", err)
+}
