--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -9,6 +9,11 @@
 	"agateramp/internal/core/table"
 )
 
+// minWitnesses is how many hosts beside the owner know a non-idempotent flow before
+// it runs, so that two hosts may fail at once. With one, late copies ran again when
+// the owner and its witness failed within 100 ms.
+const minWitnesses = 2
+
 // maxEntries bounds a report; an entry takes up to 120 bytes of a frame of 1 MB.
 const maxEntries = 4096
 
@@ -75,20 +80,30 @@
 }
 
 // witnesses returns the peers that must confirm a non-idempotent flow: all that
-// its directory consists of. One of them alone may be new to the flow's bucket and
-// not know that an owner that is dead by now ran the same work. Peers without a
-// stream for a second are passed over; when none is left, the next member in
-// rendezvous order is asked. It reports alone when there is no other host.
+// its directory consists of, and at least minWitnesses. One of them alone may be new
+// to the flow's bucket and not know that an owner that is dead by now ran the same
+// work. Peers without a stream for a second are passed over for the next members in
+// rendezvous order. It reports alone when there is no other host.
 func (c *call) witnesses(hash uint64) (peers []netip.AddrPort, alone bool) {
 	t := c.view.table
-	skipped := func(a netip.AddrPort) bool { return a == c.owner.self || c.owner.peers.dead(a, c.now) }
-	peers = slices.DeleteFunc(t.AppendDirectory(nil, hash), skipped)
+	skipped := func(a netip.AddrPort) bool {
+		return a == c.owner.self || slices.Contains(peers, a) || c.owner.peers.dead(a, c.now)
+	}
+	for _, a := range t.AppendDirectory(nil, hash) {
+		if !skipped(a) {
+			peers = append(peers, a)
+		}
+	}
+	for len(peers) < minWitnesses {
+		m := t.Next(hash, skipped)
+		if m == nil {
+			break
+		}
+		peers = append(peers, m.Address)
+	}
 	if len(peers) > 0 {
 		return peers, false
 	}
-	if m := t.Next(hash, skipped); m != nil {
-		return []netip.AddrPort{m.Address}, false
-	}
 	// That all others are unreachable does not make the flow safe to run.
 	for i := range t.Members() {
 		if t.Members()[i].Address != c.owner.self {
@@ -149,7 +164,7 @@
 			}
 			continue
 		}
-		if answer := c.learn(from, key, owner, m); answer != nil {
+		if answer := c.learn(source{peer: from, version: r.GetVersion()}, key, owner, m); answer != nil {
 			contradicted = append(contradicted, answer)
 			confirmed = r.GetVersion() != 0
 		}
@@ -170,9 +185,15 @@
 	}
 }
 
+// source is where an entry came from, and the table version of its sender.
+type source struct {
+	peer    netip.AddrPort
+	version uint64
+}
+
 // learn records that another host has a flow. It returns the entry that speaks
 // against it, or nil.
-func (c *call) learn(from netip.AddrPort, key flow.Key, owner netip.AddrPort, m *controlpb.FlowEntry) *controlpb.FlowEntry {
+func (c *call) learn(from source, key flow.Key, owner netip.AddrPort, m *controlpb.FlowEntry) *controlpb.FlowEntry {
 	hash := key.Hash()
 	s := c.owner.flows.shard(hash)
 	s.mu.Lock()
@@ -194,7 +215,7 @@
 		if over && !same {
 			return nil
 		}
-		if same && from != owner {
+		if same && from.peer != owner {
 			return nil
 		}
 		if !same && !c.view.idempotent && known[0] != 0 && known[0] == e.tokens[0] ||
@@ -205,8 +226,9 @@
 		if over && known[0] != e.tokens[0] && !known.earlier(e.tokens[0]) {
 			return nil
 		}
-		if e.stage == flow.StageOffer && c.owner.hosts.address(e.host) == owner {
-			// The report is older than the offer by which its sender gave the flow away.
+		if e.tokens.earlier(known[0]) || e.stage == flow.StageOffer && c.owner.hosts.address(e.host) == owner {
+			// The report is of an earlier flow on the key, or older than the offer by
+			// which its sender gave the flow away.
 			return c.entryMessage(e)
 		}
 		// Nothing was delivered here, so this agent can give way to the other.
@@ -223,7 +245,9 @@
 		}
 	}
 	c.remote(e, owner, m, known)
-	if from != owner && e.expires == 0 {
+	listed := from.version > c.view.table.Version() || directed(c.view.table, hash, c.owner.self)
+	if e.expires == 0 && (from.peer != owner || !listed) {
+		// The end of the flow is not reported to this agent.
 		e.expires = nanoseconds(c.now, handoverLife)
 	}
 	return nil
--- a/internal/core/owner/events.go
+++ b/internal/core/owner/events.go
@@ -5,7 +5,6 @@
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
-	"agateramp/internal/core/table"
 )
 
 // specReceived takes a table spec, and the reports that came before the first one.
@@ -40,7 +39,7 @@
 		c.clear()
 	}
 	if old != nil {
-		c.rereport(old.table, func(host netip.AddrPort) bool { return !o.peers.connected(host) })
+		c.rereport(old.table)
 	}
 	m := v.table.Member(o.self)
 	c.offerQueued(o.admission.exclude(m == nil || !m.Active()))
@@ -62,46 +61,6 @@
 	return addresses
 }
 
-// rereport reports flows to the hosts that a new table adds to their directory, or
-// to all when there is no old one: the flows of this agent, and the entries whose
-// owner cannot report them itself.
-func (c *call) rereport(old *table.Table, orphaned func(host netip.AddrPort) bool) {
-	var before, after [2 * flow.MaxPath]netip.AddrPort
-	for i := range c.owner.flows.shards {
-		s := &c.owner.flows.shards[i]
-		s.mu.Lock()
-		s.each(func(e *entry) {
-			own := e.own() && old != nil
-			if !own && (e.state != stateRemote || !orphaned(c.owner.hosts.address(e.host))) {
-				return
-			}
-			var known []netip.AddrPort
-			if old != nil {
-				known = old.AppendDirectory(before[:0], e.hash)
-			}
-			added := c.view.table.AppendDirectory(after[:0], e.hash)
-			n := 0
-			for _, a := range added {
-				if !contains(known, a) {
-					added[n] = a
-					n++
-				}
-			}
-			c.owner.peers.enqueue(ref{key: e.key, hash: e.hash}, c.owner.self, added[:n])
-		})
-		s.mu.Unlock()
-	}
-}
-
-func contains(list []netip.AddrPort, a netip.AddrPort) bool {
-	for _, b := range list {
-		if a == b {
-			return true
-		}
-	}
-	return false
-}
-
 // clear forgets all flows, because the agent now serves another service.
 func (c *call) clear() {
 	for i := range c.owner.flows.shards {
@@ -135,45 +94,6 @@
 	c.emit(&Acknowledge{Version: c.view.table.Version(), Transferred: true})
 }
 
-// peerConnected sends a full report over a new stream: the flows of this agent
-// whose directory names the peer, and the entries that name it as the owner.
-func (c *call) peerConnected(address netip.AddrPort) {
-	o := c.owner
-	o.peers.connect(address, c.now)
-	if c.view == nil {
-		return
-	}
-	only := []netip.AddrPort{address}
-	for i := range o.flows.shards {
-		s := &o.flows.shards[i]
-		s.mu.Lock()
-		s.each(func(e *entry) {
-			if e.own() && directed(c.view.table, e.hash, address) ||
-				e.state == stateRemote && o.hosts.address(e.host) == address {
-				o.peers.enqueue(ref{key: e.key, hash: e.hash}, o.self, only)
-			}
-		})
-		s.mu.Unlock()
-	}
-	c.flush(address)
-	again := o.admission.askAgain(address, func() uint64 {
-		sequence, _ := o.peers.next(address)
-		return sequence
-	})
-	for i := range again {
-		c.emitAsk(&again[i], again[i].asked[0])
-	}
-}
-
-// peerDisconnected passes on what the directory holds of a peer that may be dead:
-// nobody else reports its flows to hosts that a later table adds to their directory.
-func (c *call) peerDisconnected(address netip.AddrPort) {
-	c.owner.peers.disconnect(address, c.now)
-	if c.view != nil {
-		c.rereport(nil, func(host netip.AddrPort) bool { return host == address })
-	}
-}
-
 // reportAcked delivers the flows that the confirmed report was about.
 func (c *call) reportAcked(from netip.AddrPort, sequence uint64) {
 	if c.view == nil {
--- a/internal/core/owner/hosts_test.go
+++ b/internal/core/owner/hosts_test.go
@@ -17,6 +17,8 @@
 	members []*controlpb.Member
 	spec    *controlpb.TableSpec
 	pending bool
+	// losses holds when agents last lost their memory.
+	losses []time.Time
 
 	balancerAcks map[*simBalancer]uint64
 	agentAcks    map[*simHost]uint64
--- a/internal/core/owner/recovery.go
+++ b/internal/core/owner/recovery.go
@@ -80,45 +80,6 @@
 	}
 }
 
-// stopping hands over all entries. Flows of this agent and directory entries go
-// to one more host each, so that they survive when the agents that hold them stop
-// at the same time. The agent takes no new flow, since it would end unreported.
-func (c *call) stopping() {
-	o := c.owner
-	c.offerQueued(o.admission.stop())
-	c.offerPending()
-	if c.view == nil {
-		return
-	}
-	for i := range o.flows.shards {
-		s := &o.flows.shards[i]
-		s.mu.Lock()
-		s.each(func(e *entry) {
-			if !e.own() && e.state != stateRemote {
-				return
-			}
-			owner := o.self
-			if e.state == stateRemote {
-				owner = o.hosts.address(e.host)
-			}
-			heir := c.view.table.Next(e.hash, func(a netip.AddrPort) bool {
-				return a == o.self || a == owner || c.holds(e.hash, a) || o.peers.dead(a, c.now)
-			})
-			if heir != nil {
-				o.peers.enqueue(ref{key: e.key, hash: e.hash}, o.self, []netip.AddrPort{heir.Address})
-			}
-		})
-		s.mu.Unlock()
-	}
-	c.flush(netip.AddrPort{})
-}
-
-// holds reports whether the newest table names a host in the directory of a flow.
-func (c *call) holds(hash uint64, a netip.AddrPort) bool {
-	r := c.view.table.Route(hash)
-	return a == r.SecondChoice || len(r.Hops) > 0 && a == r.Hops[0].Address
-}
-
 // endRecovery ends the recovery when every reachable peer has reported or its
 // time is over, and decides on the packets that waited for that.
 func (c *call) endRecovery() {
--- a/internal/core/owner/schedule_test.go
+++ b/internal/core/owner/schedule_test.go
@@ -138,6 +138,12 @@
 	spare := len(members) > 2
 	n.log("step %+v on service %d", s, service.service.GetId())
 	switch s.change {
+	case restartAgent, crashAgent, killHost, reassignHost:
+		if h == nil || h.restarting || !service.mayForget() {
+			return
+		}
+	}
+	switch s.change {
 	case addHost:
 		added := n.newHost(service, n.freeAddress(), 2)
 		service.members = append(service.members, added.member(1000))
@@ -195,21 +201,24 @@
 	s.publish()
 }
 
-// restart restarts an agent. One agent of a service restarts at a time: the
-// directory has no other copy than the memory of the agents.
+// mayForget reports whether one more agent may lose its memory, and counts it. The
+// memory of the agents is all there is, so no design survives the loss of every
+// copy at once.
+func (s *simService) mayForget() bool {
+	now := s.n.now
+	s.losses = slices.DeleteFunc(s.losses, func(at time.Time) bool { return now.Sub(at) > lossWindow })
+	if len(s.losses) >= lossesAtOnce {
+		return false
+	}
+	s.losses = append(s.losses, now)
+	return true
+}
+
+// restart restarts an agent.
 func (n *network) restart(h *simHost, planned bool, down time.Duration) {
 	if h == nil || h.owner == nil || n.placement != owners {
 		return
 	}
-	busy := 0
-	for _, other := range n.hosts {
-		if other.alive && other.service == h.service && (other.owner == nil || other.restarting || other.owner.Recovering()) {
-			busy++
-		}
-	}
-	if busy >= restartsAtOnce || h.restarting {
-		return
-	}
 	h.restarting = true
 	h.stopAgent(planned)
 	n.suspect(h, func() bool { return h.owner == nil })
@@ -344,8 +353,10 @@
 
 const (
 	parallelParts = 5
-	// restartsAtOnce is how many agents of a service may be down or recovering.
-	restartsAtOnce = 2
+	// lossesAtOnce is how many agents of a service lose their memory in lossWindow,
+	// which is longer than an agent is down and recovers.
+	lossesAtOnce = 2
+	lossWindow   = 3 * time.Second
 )
 
 // violations returns what must not happen in a network of owners.
