owner: Tell witnesses when a flow is given away

Traces showed two agents answering each other's contradicting entries without end, a recovered flow replaced by an older one on the same key, and witnesses that spoke for an agent that had given the flow away. Only requests to witness are answered now, newer entries win in a recovery, and the agent that gives a flow away tells its witnesses. A flow of which a witness spoke is reset, never refused as not run.

--- a/internal/core/owner/admission.go
+++ b/internal/core/owner/admission.go
@@ -32,8 +32,9 @@
 	deadline int64
 	// known is what witnesses are told of earlier flows on the key.
 	known tokens
-	// asked holds the witnesses that have not confirmed yet.
-	asked []ask
+	// witnesses were asked to confirm, and asked holds those that have not yet.
+	witnesses []netip.AddrPort
+	asked     []ask
 }
 
 // ask is a report that a witness must confirm. The sequence is 0 while there is
@@ -180,6 +181,13 @@
 	a.pending = append(a.pending, w)
 }
 
+// awaits reports whether a flow waits for its witnesses.
+func (a *admission) awaits() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.pending) > 0
+}
+
 // cancel forgets a flow that waits for its witness and returns its packet, or nil.
 func (a *admission) cancel(key flow.Key) *waiting {
 	found := a.takePending(func(w *waiting) bool { return w.packet.Key == key })
@@ -218,16 +226,22 @@
 	})
 }
 
-// askAgain numbers anew the reports to a witness whose stream is new. It returns
-// a copy of what is to be sent.
-func (a *admission) askAgain(witness netip.AddrPort, next func() uint64) (again []waiting) {
+// askAgain returns copies of the requests that match and are not confirmed. They
+// keep their sequence, so that a late confirmation still counts.
+func (a *admission) askAgain(p *peerSet, match func(w *waiting, q ask) bool) (again []waiting) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, w := range a.pending {
 		for i := range w.asked {
-			if w.asked[i].witness == witness {
-				w.asked[i].sequence = next()
-				again = append(again, waiting{packet: w.packet, known: w.known, asked: []ask{w.asked[i]}})
+			q := &w.asked[i]
+			if !match(w, *q) {
+				continue
+			}
+			if q.sequence == 0 {
+				q.sequence, _ = p.next(q.witness)
+			}
+			if q.sequence != 0 {
+				again = append(again, waiting{packet: w.packet, known: w.known, asked: []ask{*q}})
 			}
 		}
 	}
--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -127,6 +127,33 @@
 	}
 }
 
+// askAgain repeats requests to witnesses that were not confirmed.
+func (c *call) askAgain(match func(w *waiting, q ask) bool) {
+	again := c.owner.admission.askAgain(&c.owner.peers, match)
+	for i := range again {
+		c.emitAsk(&again[i], again[i].asked[0])
+	}
+}
+
+// tellWitnesses tells the witnesses of a flow that this agent gave it away or
+// refused it; otherwise they would speak against its next owner.
+func (c *call) tellWitnesses(e *entry, witnesses []netip.AddrPort) {
+	if e.state != stateClaim && e.state != stateRefused {
+		return
+	}
+	m := c.entryMessage(e)
+	if e.state == stateClaim {
+		m.Owner = encodeAddress(c.owner.hosts.address(e.host))
+	}
+	for _, a := range witnesses {
+		if sequence, ok := c.owner.peers.next(a); ok {
+			c.emit(&Report{To: a, Report: &controlpb.FlowReport{
+				Sequence: sequence, Entries: []*controlpb.FlowEntry{m}, Version: c.view.table.Version(),
+			}})
+		}
+	}
+}
+
 func (c *call) emitAsk(w *waiting, q ask) {
 	c.emit(&Report{To: q.witness, Report: &controlpb.FlowReport{
 		Sequence: q.sequence,
@@ -169,6 +196,10 @@
 			confirmed = r.GetVersion() != 0
 		}
 	}
+	if r.GetVersion() != 0 {
+		// Two agents that contradict each other's answers would go on forever.
+		contradicted = nil
+	}
 	if answers := append(contradicted, stale...); len(answers) > 0 {
 		if sequence, ok := c.owner.peers.next(from); ok {
 			c.emit(&Report{To: from, Report: &controlpb.FlowReport{
@@ -211,10 +242,15 @@
 		}
 		e = s.insert(hash, key)
 	case e.state == stateRemote:
-		same := c.owner.hosts.address(e.host) == owner
+		recorded := c.owner.hosts.address(e.host)
+		same := recorded == owner
 		if over && !same {
 			return nil
 		}
+		if !same && recorded == from.peer && known[0] == e.tokens[0] && !e.has(flagOver|flagRefused) {
+			// The owner gave the flow away before it ran.
+			break
+		}
 		if same && from.peer != owner {
 			return nil
 		}
@@ -228,7 +264,12 @@
 		}
 		if e.tokens.earlier(known[0]) || e.stage == flow.StageOffer && c.owner.hosts.address(e.host) == owner {
 			// The report is of an earlier flow on the key, or older than the offer by
-			// which its sender gave the flow away.
+			// which its owner gave the flow away. From another peer the latter cannot be
+			// told from a flow that ran there, so the caller must not be told that it
+			// did not run.
+			if from.peer != owner {
+				e.flags |= flagContradicted
+			}
 			return c.entryMessage(e)
 		}
 		// Nothing was delivered here, so this agent can give way to the other.
--- a/internal/core/owner/entry.go
+++ b/internal/core/owner/entry.go
@@ -41,6 +41,8 @@
 	flagOver
 	// flagRefused marks a directory entry whose flow was refused.
 	flagRefused
+	// flagContradicted marks a flow awaiting witnesses that another host may have run.
+	flagContradicted
 	// flagRecovered marks a flow learned from a peer after a restart.
 	flagRecovered
 )
@@ -149,6 +151,8 @@
 	defaultIdle = 5 * time.Minute
 	// witnessDeadline is how long a witness may take to confirm a flow.
 	witnessDeadline = 200 * time.Millisecond
+	// askInterval is how long a witness may take before it is asked again.
+	askInterval = 50 * time.Millisecond
 	// streamGrace is how long a broken stream may stay broken before its peer
 	// counts as unreachable.
 	streamGrace = time.Second
--- a/internal/core/owner/events.go
+++ b/internal/core/owner/events.go
@@ -150,8 +150,10 @@
 	}
 	for _, w := range c.owner.admission.takePending(func(*waiting) bool { return true }) {
 		c.withPending(w, func(e *entry) {
+			asked := w.witnesses
 			c.owner.admission.release(c.now, e.has(flagBusy))
 			c.place(e, &w.header, &w.packet)
+			c.tellWitnesses(e, asked)
 		})
 	}
 }
--- a/internal/core/owner/handover.go
+++ b/internal/core/owner/handover.go
@@ -46,13 +46,7 @@
 		}
 	})
 	c.flush(address)
-	again := o.admission.askAgain(address, func() uint64 {
-		sequence, _ := o.peers.next(address)
-		return sequence
-	})
-	for i := range again {
-		c.emitAsk(&again[i], again[i].asked[0])
-	}
+	c.askAgain(func(_ *waiting, q ask) bool { return q.witness == address })
 }
 
 // peerDisconnected makes up for the copies that a peer held, since it may be dead:
@@ -79,10 +73,9 @@
 
 // stopping hands over all entries. Each goes to one more host, so that it survives
 // when the agents that hold it stop at the same time. The agent takes no new flow,
-// since it would end unreported.
+// since it would end unreported; flows that wait for their witnesses still begin.
 func (c *call) stopping() {
 	c.offerQueued(c.owner.admission.stop())
-	c.offerPending()
 	if c.view == nil {
 		return
 	}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -151,8 +151,9 @@
 // Recovering reports whether the agent still waits for the reports of its peers.
 func (o *Owner) Recovering() bool { return o.recovering.Load() }
 
-// Flushed reports whether every connected peer has confirmed all reports.
-func (o *Owner) Flushed() bool { return o.peers.flushed() }
+// Flushed reports whether no flow waits for its witnesses and every connected peer
+// has confirmed all reports.
+func (o *Owner) Flushed() bool { return !o.admission.awaits() && o.peers.flushed() }
 
 // call is one packet or event on its way through the Owner.
 type call struct {
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -228,7 +228,7 @@
 	e.state, e.expires = statePending, 0
 	c.noteOffer(e, h)
 	kept.deadline = nanoseconds(c.now, witnessDeadline)
-	kept.known, kept.asked = e.tokens, nil
+	kept.known, kept.witnesses, kept.asked = e.tokens, witnesses, nil
 	for _, a := range witnesses {
 		kept.asked = append(kept.asked, ask{witness: a})
 	}
@@ -249,6 +249,7 @@
 // begin delivers the first packet of a flow.
 func (c *call) begin(e *entry, h *flow.Header, p *flow.Packet) {
 	e.state = stateOwned
+	e.flags &^= flagContradicted
 	c.touch(e, p)
 	c.deliver(e, h, p)
 	c.owner.reportFlow(e)
--- a/internal/core/owner/recovery.go
+++ b/internal/core/owner/recovery.go
@@ -20,7 +20,12 @@
 		c.complete(e, m, known)
 		return nil
 	}
-	if e != nil && e.state != stateRemote && e.state != stateClaim {
+	switch {
+	case e == nil, e.state == stateRemote, e.state == stateClaim:
+	case recovers && known.earlier(e.tokens[0]) && (e.state == stateEnded || e.state == stateRefused):
+		// An older report came first.
+		e.tokens = known
+	default:
 		return nil
 	}
 	if e != nil && known[0] != e.tokens[0] && e.tokens[0] != 0 {
@@ -70,10 +75,19 @@
 
 // complete adds what a peer knows to a flow that was adopted before its report.
 func (c *call) complete(e *entry, m *controlpb.FlowEntry, known tokens) {
-	if e.tokens[0] != 0 || m.GetEnded() || m.GetRefused() {
+	if m.GetEnded() || m.GetRefused() {
+		return
+	}
+	newer := e.has(flagRecovered) && known.earlier(e.tokens[0])
+	if e.tokens[0] != 0 && !newer {
+		e.tokens = e.tokens.merge(known)
 		return
 	}
 	e.tokens = known
+	if newer {
+		// An older report came first.
+		e.port = 0
+	}
 	if e.port == 0 && m.GetLocalPort() != 0 {
 		e.port = uint16(m.GetLocalPort())
 		c.emit(&BindFlow{Key: e.key, LocalPort: e.port})
--- a/internal/core/owner/schedule_test.go
+++ b/internal/core/owner/schedule_test.go
@@ -243,10 +243,7 @@
 			continue
 		}
 		b.sprayed = false
-		if !planned {
-			b.live = false
-			return
-		}
+		b.live = planned
 		n.after(2*time.Second, func() {
 			b.live = false
 			for _, s := range n.services {
--- a/internal/core/owner/tick.go
+++ b/internal/core/owner/tick.go
@@ -19,9 +19,11 @@
 		c.withPending(w, func(e *entry) {
 			c.owner.admission.release(c.now, e.has(flagBusy))
 			c.freed = true
-			c.refuse(e, &w.header, &w.packet, flow.ReasonNoWitness)
+			c.unwitnessed(e, w)
 		})
 	}
+	// A witness may have spoken against a flow that its owner has given away since.
+	c.askAgain(func(w *waiting, _ ask) bool { return w.deadline-c.now < int64(witnessDeadline-askInterval) })
 	n := c.owner.sweepNext.Add(1)
 	c.sweep(&c.owner.flows.shards[n%shardCount])
 	c.flush(netip.AddrPort{})
@@ -29,6 +31,16 @@
 	c.freed = true
 }
 
+// unwitnessed gives up a flow that its witnesses did not confirm in time.
+func (c *call) unwitnessed(e *entry, w *waiting) {
+	if !e.has(flagContradicted) {
+		c.refuse(e, &w.header, &w.packet, flow.ReasonNoWitness)
+		return
+	}
+	e.state, e.flags, e.expires = stateEnded, 0, nanoseconds(c.now, memoryLife)
+	c.emit(&Reset{Key: e.key, Reason: flow.ReasonNoWitness, Return: w.header.ReturnAddress, Data: w.packet.Data})
+}
+
 // sweep ends the entries of a shard whose time has come.
 func (c *call) sweep(s *shard) {
 	o := c.owner
