--- a/internal/core/owner/peers.go
+++ b/internal/core/owner/peers.go
@@ -41,6 +41,8 @@
 type peerSet struct {
 	mu        sync.Mutex
 	byAddress map[netip.AddrPort]*peer
+	// order holds the peers in the order in which they became known.
+	order []netip.AddrPort
 }
 
 // expect makes sure that a peer is known, as of now without a stream.
@@ -49,6 +51,7 @@
 	if p == nil {
 		p = &peer{since: now, unconfirmed: make(map[uint64]struct{})}
 		s.byAddress[address] = p
+		s.order = append(s.order, address)
 	}
 	return p
 }
@@ -136,7 +139,8 @@
 func (s *peerSet) due(address netip.AddrPort) (batches []batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for a, p := range s.byAddress {
+	for _, a := range s.order {
+		p := s.byAddress[a]
 		if address.IsValid() && a != address || !p.connected || len(p.outbox) == 0 && !p.full {
 			continue
 		}
