--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -9,6 +9,11 @@
 	"agateramp/internal/core/table"
 )
 
+// minWitnesses is how many hosts beside the owner know a non-idempotent flow before
+// it runs, so that two hosts may fail at once. With one, late copies ran again when
+// the owner and its witness failed within 100 ms.
+const minWitnesses = 2
+
 // maxEntries bounds a report; an entry takes up to 120 bytes of a frame of 1 MB.
 const maxEntries = 4096
 
@@ -75,20 +80,30 @@
 }
 
 // witnesses returns the peers that must confirm a non-idempotent flow: all that
-// its directory consists of. One of them alone may be new to the flow's bucket and
-// not know that an owner that is dead by now ran the same work. Peers without a
-// stream for a second are passed over; when none is left, the next member in
-// rendezvous order is asked. It reports alone when there is no other host.
+// its directory consists of, and at least minWitnesses. One of them alone may be new
+// to the flow's bucket and not know that an owner that is dead by now ran the same
+// work. Peers without a stream for a second are passed over for the next members in
+// rendezvous order. It reports alone when there is no other host.
 func (c *call) witnesses(hash uint64) (peers []netip.AddrPort, alone bool) {
 	t := c.view.table
-	skipped := func(a netip.AddrPort) bool { return a == c.owner.self || c.owner.peers.dead(a, c.now) }
-	peers = slices.DeleteFunc(t.AppendDirectory(nil, hash), skipped)
+	skipped := func(a netip.AddrPort) bool {
+		return a == c.owner.self || slices.Contains(peers, a) || c.owner.peers.dead(a, c.now)
+	}
+	for _, a := range t.AppendDirectory(nil, hash) {
+		if !skipped(a) {
+			peers = append(peers, a)
+		}
+	}
+	for len(peers) < minWitnesses {
+		m := t.Next(hash, skipped)
+		if m == nil {
+			break
+		}
+		peers = append(peers, m.Address)
+	}
 	if len(peers) > 0 {
 		return peers, false
 	}
-	if m := t.Next(hash, skipped); m != nil {
-		return []netip.AddrPort{m.Address}, false
-	}
 	// That all others are unreachable does not make the flow safe to run.
 	for i := range t.Members() {
 		if t.Members()[i].Address != c.owner.self {
@@ -112,6 +127,33 @@
 	}
 }
 
+// askAgain repeats requests to witnesses that were not confirmed.
+func (c *call) askAgain(match func(w *waiting, q ask) bool) {
+	again := c.owner.admission.askAgain(&c.owner.peers, match)
+	for i := range again {
+		c.emitAsk(&again[i], again[i].asked[0])
+	}
+}
+
+// tellWitnesses tells the witnesses of a flow that this agent gave it away or
+// refused it; otherwise they would speak against its next owner.
+func (c *call) tellWitnesses(e *entry, witnesses []netip.AddrPort) {
+	if e.state != stateClaim && e.state != stateRefused {
+		return
+	}
+	m := c.entryMessage(e)
+	if e.state == stateClaim {
+		m.Owner = encodeAddress(c.owner.hosts.address(e.host))
+	}
+	for _, a := range witnesses {
+		if sequence, ok := c.owner.peers.next(a); ok {
+			c.emit(&Report{To: a, Report: &controlpb.FlowReport{
+				Sequence: sequence, Entries: []*controlpb.FlowEntry{m}, Version: c.view.table.Version(),
+			}})
+		}
+	}
+}
+
 func (c *call) emitAsk(w *waiting, q ask) {
 	c.emit(&Report{To: q.witness, Report: &controlpb.FlowReport{
 		Sequence: q.sequence,
@@ -149,11 +191,15 @@
 			}
 			continue
 		}
-		if answer := c.learn(from, key, owner, m); answer != nil {
+		if answer := c.learn(source{peer: from, version: r.GetVersion()}, key, owner, m); answer != nil {
 			contradicted = append(contradicted, answer)
 			confirmed = r.GetVersion() != 0
 		}
 	}
+	if r.GetVersion() != 0 {
+		// Two agents that contradict each other's answers would go on forever.
+		contradicted = nil
+	}
 	if answers := append(contradicted, stale...); len(answers) > 0 {
 		if sequence, ok := c.owner.peers.next(from); ok {
 			c.emit(&Report{To: from, Report: &controlpb.FlowReport{
@@ -170,9 +216,15 @@
 	}
 }
 
+// source is where an entry came from, and the table version of its sender.
+type source struct {
+	peer    netip.AddrPort
+	version uint64
+}
+
 // learn records that another host has a flow. It returns the entry that speaks
 // against it, or nil.
-func (c *call) learn(from netip.AddrPort, key flow.Key, owner netip.AddrPort, m *controlpb.FlowEntry) *controlpb.FlowEntry {
+func (c *call) learn(from source, key flow.Key, owner netip.AddrPort, m *controlpb.FlowEntry) *controlpb.FlowEntry {
 	hash := key.Hash()
 	s := c.owner.flows.shard(hash)
 	s.mu.Lock()
@@ -190,11 +242,16 @@
 		}
 		e = s.insert(hash, key)
 	case e.state == stateRemote:
-		same := c.owner.hosts.address(e.host) == owner
+		recorded := c.owner.hosts.address(e.host)
+		same := recorded == owner
 		if over && !same {
 			return nil
 		}
-		if same && from != owner {
+		if !same && recorded == from.peer && known[0] == e.tokens[0] && !e.has(flagOver|flagRefused) {
+			// The owner gave the flow away before it ran.
+			break
+		}
+		if same && from.peer != owner {
 			return nil
 		}
 		if !same && !c.view.idempotent && known[0] != 0 && known[0] == e.tokens[0] ||
@@ -205,8 +262,14 @@
 		if over && known[0] != e.tokens[0] && !known.earlier(e.tokens[0]) {
 			return nil
 		}
-		if e.stage == flow.StageOffer && c.owner.hosts.address(e.host) == owner {
-			// The report is older than the offer by which its sender gave the flow away.
+		if e.tokens.earlier(known[0]) || e.stage == flow.StageOffer && c.owner.hosts.address(e.host) == owner {
+			// The report is of an earlier flow on the key, or older than the offer by
+			// which its owner gave the flow away. From another peer the latter cannot be
+			// told from a flow that ran there, so the caller must not be told that it
+			// did not run.
+			if from.peer != owner {
+				e.flags |= flagContradicted
+			}
 			return c.entryMessage(e)
 		}
 		// Nothing was delivered here, so this agent can give way to the other.
@@ -223,7 +286,9 @@
 		}
 	}
 	c.remote(e, owner, m, known)
-	if from != owner && e.expires == 0 {
+	listed := from.version > c.view.table.Version() || directed(c.view.table, hash, c.owner.self)
+	if e.expires == 0 && (from.peer != owner || !listed) {
+		// The end of the flow is not reported to this agent.
 		e.expires = nanoseconds(c.now, handoverLife)
 	}
 	return nil
