weights: Average in batches and tell noise from deviations

Batches of 5 s relative to the mean of the service, with a fast and a slow window and a known noise, keep weights still once learned.

--- a/internal/core/weights/learn.go
+++ b/internal/core/weights/learn.go
@@ -13,18 +13,17 @@
 	step float64
 	// band is the change of a weight that is worth a table version.
 	band float64
-	// ignore is the deviation of a busy share from the mean that is not acted on.
-	// Without it, weights would follow what one bucket more or less makes out.
-	ignore float64
-	// doubt is the number of standard errors that a deviation has to exceed.
-	doubt float64
-	// gain is the share of a deviation that one step corrects.
+	// fast and slow are the windows over which busy shares are averaged: the one
+	// sees a host that changes its speed, the other small lasting deviations.
+	fast, slow window
+	// gain is the power of a deviation that one step corrects. It is above 1, since
+	// the second choice evens out a part of each deviation.
 	gain float64
 	// limit bounds the learned weight to announced/limit..announced*limit.
 	limit float64
 	// ramp and rampFrom describe the slow start.
-	ramp     time.Duration
-	rampFrom float64
+	ramp, rampStep time.Duration
+	rampFrom       float64
 	// settle is the time until heartbeats show the effect of a changed weight.
 	settle time.Duration
 	// idle is the mean busy share below which nothing is learned.
@@ -41,11 +40,12 @@
 		interval:  5 * time.Second,
 		step:      0.25,
 		band:      0.05,
-		ignore:    0.02,
-		doubt:     2,
-		gain:      1,
+		fast:      window{batches: 6, ignore: 0.05, doubt: 3},
+		slow:      window{batches: 60, ignore: 0.02, doubt: 3},
+		gain:      1.5,
 		limit:     8,
 		ramp:      30 * time.Second,
+		rampStep:  10 * time.Second,
 		rampFrom:  0.1,
 		settle:    time.Second,
 		idle:      0.05,
@@ -56,41 +56,116 @@
 	}
 }
 
+// window is a way of averaging busy shares.
+type window struct {
+	// batches is the number of batches that are remembered.
+	batches float64
+	// ignore is the deviation from the mean that is not acted on. Without it,
+	// weights would follow what one bucket more or less makes out.
+	ignore float64
+	// doubt is the number of standard errors that a deviation has to exceed.
+	doubt float64
+}
+
+// average is a mean that forgets.
+type average struct{ mean, count float64 }
+
+func (a *average) add(x, memory float64) {
+	a.count = min(a.count+1, memory)
+	a.mean += (x - a.mean) / a.count
+}
+
+const (
+	// minSamples is the number of heartbeats that make a batch.
+	minSamples = 3
+	// minNoise is the number of batches after which the noise of a host is known.
+	minNoise = 2
+	// correlation allows for batches that depend on each other, as they do where
+	// requests take seconds.
+	correlation = 1.5
+	// fresh is the age up to which a heartbeat says something.
+	fresh = 3 * time.Second
+)
+
+// sample adds the last heartbeats to the batches. Busy shares are divided by the
+// mean of the service at the same time, so that a load that rises and falls is
+// not taken for a deviation.
+func (l *Learner) sample(now time.Time) {
+	sum, n := 0.0, 0.0
+	for _, h := range l.hosts {
+		if h.learns(now) && now.Sub(h.sharedAt) < fresh {
+			sum += h.share
+			n++
+		}
+	}
+	if n < 2 {
+		l.level = average{}
+		return
+	}
+	l.level.add(sum/n, levelMemory)
+	if l.level.mean < l.rules.idle {
+		return
+	}
+	for _, h := range l.hosts {
+		if now.Sub(h.sharedAt) < fresh && !now.Before(h.settledAt) {
+			h.batch.add(h.share/l.level.mean, math.Inf(1))
+		}
+	}
+}
+
+// levelMemory is the number of seconds over which the mean of a service is
+// smoothed.
+const levelMemory = 10
+
 // learn moves the weight of each warm host toward the one with which it would be
 // as busy as the others. It starts from the published weight, to which the busy
 // shares belong, so that the same evidence is not counted twice.
 func (l *Learner) learn(now time.Time) {
-	mean := l.mean(now)
-	if mean < l.rules.idle {
-		return
-	}
 	for _, h := range l.hosts {
-		if !h.learns(now) || h.busy.count < 2 || h.published == 0 {
+		h.closeBatch(l.rules)
+		if !h.learns(now) || h.published == 0 || h.noise.count < minNoise {
 			continue
 		}
-		deviation := h.busy.mean/mean - 1
-		if math.Abs(deviation) < max(l.rules.ignore, l.rules.doubt*h.busy.standardError()/mean) {
+		deviation, ok := h.deviation(h.slow, l.rules.slow)
+		if !ok {
+			deviation, ok = h.deviation(h.fast, l.rules.fast)
+		}
+		if !ok {
 			continue
 		}
-		factor := math.Pow(mean/max(h.busy.mean, 0.01), l.rules.gain)
+		factor := math.Pow(max(1+deviation, 0.01), -l.rules.gain)
 		h.learned = h.published
 		h.scale(min(1+l.rules.step, max(1-l.rules.step, factor)), l.rules)
 	}
 }
 
-// mean returns the mean busy share of the warm hosts.
-func (l *Learner) mean(now time.Time) float64 {
-	sum, n := 0.0, 0
-	for _, h := range l.hosts {
-		if h.learns(now) && h.busy.count > 0 {
-			sum += h.busy.mean
-			n++
-		}
+// closeBatch adds the last batch to the averages. The noise is taken from the
+// difference of successive batches, which a slow change of the mean does not
+// affect.
+func (h *host) closeBatch(r rules) {
+	batch := h.batch
+	h.batch = average{}
+	if batch.count < minSamples {
+		return
 	}
-	if n < 2 {
-		return 0
+	if h.slow.count > 0 {
+		difference := batch.mean - h.last
+		h.noise.add(difference*difference/2, r.slow.batches)
 	}
-	return sum / float64(n)
+	h.last = batch.mean
+	h.fast.add(batch.mean, r.fast.batches)
+	h.slow.add(batch.mean, r.slow.batches)
+}
+
+// deviation returns how far a host is from the mean, and whether that is worth a
+// new weight.
+func (h *host) deviation(a average, w window) (deviation float64, ok bool) {
+	if a.count == 0 {
+		return 0, false
+	}
+	deviation = a.mean - 1
+	standardError := math.Sqrt(correlation * h.noise.mean / a.count)
+	return deviation, math.Abs(deviation) > max(w.ignore, w.doubt*standardError)
 }
 
 func (h *host) learns(now time.Time) bool {
@@ -146,8 +221,8 @@
 func (l *Learner) calmBeside(name string) float64 {
 	sum, n := 0.0, 0
 	for other, h := range l.hosts {
-		if other != name && h.busy.count > 0 {
-			sum += h.busy.mean
+		if other != name {
+			sum += h.share
 			n++
 		}
 	}
@@ -156,26 +231,3 @@
 	}
 	return sum / float64(n)
 }
-
-// average is a mean of samples that forgets slowly, with its uncertainty.
-type average struct {
-	mean, variance float64
-	count          float64
-}
-
-// memory is the number of samples of an average. A minute of heartbeats makes it
-// precise enough for the dead band.
-const memory = 60
-
-func (a *average) add(x float64) {
-	a.count = min(a.count+1, memory)
-	delta := x - a.mean
-	a.mean += delta / a.count
-	a.variance += (delta*(x-a.mean) - a.variance) / a.count
-}
-
-// standardError assumes that successive samples depend on each other, as they do
-// when requests take about a second.
-func (a *average) standardError() float64 {
-	return math.Sqrt(2 * a.variance / max(1, a.count-1))
-}
--- a/internal/core/weights/weights.go
+++ b/internal/core/weights/weights.go
@@ -37,6 +37,8 @@
 	hosts map[string]*host
 	// nextStep is when weights are learned next.
 	nextStep time.Time
+	// level is the mean busy share of the warm hosts.
+	level average
 }
 
 // host is the state of one host.
@@ -47,10 +49,15 @@
 	learned, published float64
 	// warmAt is when its slow start ends.
 	warmAt time.Time
-	// busy holds the busy share since its weight changed; settledAt is when
-	// heartbeats tell about the present weight.
-	busy      average
-	settledAt time.Time
+	// share is the busy share of the last heartbeat, which came at sharedAt.
+	share    float64
+	sharedAt time.Time
+	// batch, fast and slow average busy shares relative to the mean of the service,
+	// from settledAt on, when heartbeats tell about the present weight. last is the
+	// last batch, noise the variance of batches.
+	batch, fast, slow, noise average
+	last                     float64
+	settledAt                time.Time
 	// run counts the saturated heartbeats up to now, usualRun is the mean length of
 	// earlier runs.
 	run, usualRun float64
@@ -121,7 +128,7 @@
 }
 
 func (h *host) settle(now time.Time, r rules) {
-	h.busy = average{}
+	h.batch, h.fast, h.slow = average{}, average{}, average{}
 	h.settledAt = now.Add(r.settle)
 }
 
@@ -132,10 +139,8 @@
 		return
 	}
 	share := min(1, float64(busyShare)/1000)
+	h.share, h.sharedAt = share, now
 	h.observeSaturation(share, l.rules)
-	if !now.Before(h.settledAt) {
-		h.busy.add(share)
-	}
 }
 
 // Step learns from the heartbeats and returns the effective weight of each host
@@ -143,6 +148,7 @@
 // with these weights should be published. Weights within the dead band keep
 // their published value, so that their buckets stay where they are.
 func (l *Learner) Step(now time.Time) (weights []Weight, publish bool) {
+	l.sample(now)
 	l.cutOutliers(now)
 	if !now.Before(l.nextStep) {
 		l.nextStep = now.Add(l.rules.interval)
@@ -177,7 +183,7 @@
 }
 
 // effective returns the weight of a host with regard to its slow start. The ramp
-// rises once per interval, so that it costs few table versions.
+// rises in few steps, so that it costs few table versions.
 func (h *host) effective(now time.Time, r rules) float64 {
 	if h.member.Weight == 0 {
 		return 0
@@ -186,8 +192,8 @@
 	if left <= 0 {
 		return h.learned
 	}
-	steps := math.Floor(float64(r.ramp-left) / float64(r.interval))
-	ratio := steps * float64(r.interval) / float64(r.ramp)
+	steps := math.Floor(float64(r.ramp-left) / float64(r.rampStep))
+	ratio := steps * float64(r.rampStep) / float64(r.ramp)
 	return h.learned * (r.rampFrom + (1-r.rampFrom)*ratio)
 }
 
