--- a/internal/platform/shard/holder_test.go
+++ b/internal/platform/shard/holder_test.go
@@ -269,8 +269,9 @@
 			r.wait(2*time.Second, "a0")
 		}, 0, 1},
 		{"a restarted agent must acknowledge anew", func(r *rig) {
-			r.attach("a0", 2, false)
 			r.attach("a2", 1, false)
+			r.wait(2*time.Second, "b0")
+			r.attach("a0", 2, false)
 			r.wait(2*time.Second, "a0")
 		}, 0, 1},
 		{"a leased balancer without a stream counts", func(r *rig) {
