--- a/internal/platform/shard/event.go
+++ b/internal/platform/shard/event.go
@@ -23,6 +23,8 @@
 		Balancer string
 		Report   *controlpb.MemberReport
 	}
+	// Beat brings the busy share of a host.
+	Beat struct{ Heartbeat *controlpb.Heartbeat }
 	// Acked brings an acknowledgement of a balancer or of an agent attached to it.
 	Acked struct {
 		Balancer string
@@ -47,6 +49,7 @@
 func (BalancerConnected) isEvent()    {}
 func (BalancerDisconnected) isEvent() {}
 func (Reported) isEvent()             {}
+func (Beat) isEvent()                 {}
 func (Acked) isEvent()                {}
 func (Suspected) isEvent()            {}
 func (Published) isEvent()            {}
--- a/internal/platform/shard/holder.go
+++ b/internal/platform/shard/holder.go
@@ -87,6 +87,10 @@
 	for _, stored := range c.Stored {
 		if Of(stored.Spec.GetServiceId()) == h.shard {
 			h.adopt(c.Now, stored)
+			// A service that had hosts before the takeover is warm.
+			if s := h.services[stored.Spec.GetServiceId()]; !s.activeSince.IsZero() {
+				s.activeSince = c.Now.Add(-warmAfter)
+			}
 		}
 	}
 	if c.Settings != nil {
@@ -125,6 +129,12 @@
 		}
 	case Reported:
 		effects = h.report(now, e, effects)
+	case Beat:
+		for _, s := range h.services {
+			if m := s.members[e.Heartbeat.GetHost()]; m != nil && m.up() {
+				s.learner.Observe(now, m.name, e.Heartbeat.GetBusyShare())
+			}
+		}
 	case Acked:
 		h.ack(e)
 	case Suspected:
@@ -151,7 +161,7 @@
 	}
 	for _, id := range h.order() {
 		s := h.services[id]
-		if weigh {
+		if weigh || s.stale {
 			s.weigh(now)
 		}
 		for _, m := range s.members {
@@ -194,7 +204,7 @@
 			h.byName[name] = id // settings may be older than the spec
 		}
 		for _, m := range s.members {
-			m.override = settings.Hosts[m.name]
+			m.override, s.stale = settings.Hosts[m.name], true
 		}
 	}
 	early := h.early
--- a/internal/platform/shard/member.go
+++ b/internal/platform/shard/member.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/weights"
 )
 
 const (
@@ -37,6 +38,12 @@
 	pushWait    time.Duration
 	blockedAt   time.Time
 	kept        bool
+	learner     *weights.Learner
+	// stale is set when a host came or its base weight changed since the last step
+	// of the learner.
+	stale bool
+	// activeSince is when the service had its first active host.
+	activeSince time.Time
 }
 
 // member is a host that is announced or listed in a retained version.
@@ -53,8 +60,9 @@
 	downSince time.Time
 	// told is set when balancers were told to suspect the host.
 	told bool
-	// weight is the effective weight in thousandths.
-	weight weight
+	// weight is the effective weight in thousandths, and weighed the base weight
+	// that it was derived from.
+	weight, weighed uint32
 }
 
 // attachment is the stream of an agent at a balancer.
@@ -69,6 +77,7 @@
 func newService(id uint32) *service {
 	return &service{
 		id: id, members: map[string]*member{}, balancerAcks: map[string]uint64{}, removals: map[string]time.Time{},
+		learner: weights.New(),
 	}
 }
 
@@ -149,12 +158,6 @@
 		return effects
 	}
 	s := h.services[id]
-	if beat := r.GetHeartbeat(); beat != nil {
-		if m := s.members[beat.GetHost()]; m != nil && m.announced.GetIncarnation() == beat.GetIncarnation() && m.up() {
-			m.draining = beat.GetDraining()
-			m.weight.observe(beat)
-		}
-	}
 	if r.GetMember() == nil {
 		return effects
 	}
@@ -184,10 +187,7 @@
 	if m.gone {
 		return effects
 	}
-	m.announced = r.GetMember()
-	if r.GetHeartbeat() == nil {
-		m.draining = r.GetMember().GetDraining()
-	}
+	m.announced, m.draining, s.stale = r.GetMember(), r.GetMember().GetDraining(), true
 	a := m.attached[e.Balancer]
 	if a == nil {
 		a = &attachment{}
--- a/internal/platform/shard/publish.go
+++ b/internal/platform/shard/publish.go
@@ -85,20 +85,19 @@
 			continue
 		}
 		p.members = append(p.members, m)
-		raise(m.difference(s, old))
+		raise(m.difference(old))
 	}
 	return p
 }
 
 // entries returns the members of the planned version in the order of their names.
-func (p *plan) entries(s *service) []*controlpb.Member {
-	listed := s.listed()
+func (p *plan) entries() []*controlpb.Member {
 	slices.SortFunc(p.members, func(a, b *member) int { return cmp.Compare(a.name, b.name) })
 	entries := make([]*controlpb.Member, 0, len(p.members))
 	for _, m := range p.members {
 		next := proto.Clone(m.announced).(*controlpb.Member)
 		next.Draining, next.BaseWeight = m.drains(), m.baseWeight()
-		next.Weight = m.weight.next(m, listed[m.name], s)
+		next.Weight = m.effective()
 		entries = append(entries, next)
 	}
 	return entries
@@ -106,7 +105,7 @@
 
 // difference says how urgent it is to replace the listed entry of a host. A new
 // incarnation alone moves no bucket and is published with the next other change.
-func (m *member) difference(s *service, old *controlpb.Member) urgency {
+func (m *member) difference(old *controlpb.Member) urgency {
 	a := m.announced
 	switch {
 	case old == nil:
@@ -117,7 +116,7 @@
 		old.GetControlAddress() != a.GetControlAddress(), old.GetDataCentre() != a.GetDataCentre(),
 		old.GetSlots() != a.GetSlots(), old.GetConnections() != a.GetConnections():
 		return memberChange
-	case old.GetWeight() != m.weight.next(m, old, s):
+	case old.GetWeight() != m.effective():
 		return weightChange
 	}
 	return unchanged
@@ -185,7 +184,7 @@
 	for _, name := range slices.Sorted(maps.Keys(p.lost)) {
 		effects = append(effects, &Ejected{ServiceID: s.id, Host: name})
 	}
-	return s.change(h.fence, p.entries(s), oldest), effects
+	return s.change(h.fence, p.entries(), oldest), effects
 }
 
 // change returns the spec with a new version of the given members, or without a
@@ -341,10 +340,14 @@
 	for name, m := range s.members {
 		if listed[name] == nil && !m.up() {
 			delete(s.members, name)
-			continue
 		}
-		m.weight.adopted(m, newest[name], now)
 	}
+	for _, l := range newest {
+		if s.activeSince.IsZero() && !l.GetDraining() && l.GetWeight() > 0 {
+			s.activeSince = now
+		}
+	}
+	s.tellLearner(now, newest)
 }
 
 // push sends the newest spec to connected balancers that are behind.
