role: Join the data paths with the control streams; add dev

Cause: the roles need their control streams, settings and configuration, and a first look needs everything in one process.

--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -22,8 +22,13 @@
 
 // cli is the command tree; each field's type stands in the file of its command.
 type cli struct {
-	Load    loadCommand    `cmd:"" help:"Send flows to a running system and print what was seen."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Balancer balancerCommand `cmd:"" help:"Run a balancer."`
+	Agent    agentCommand    `cmd:"" help:"Run the agent beside a backend server."`
+	Dev      devCommand      `cmd:"" help:"Run the whole system on loopback, for a first look."`
+	Status   statusCommand   `cmd:"" help:"Print what processes say of themselves."`
+	Drain    drainCommand    `cmd:"" help:"Have a host take no new flows, or take them again."`
+	Load     loadCommand     `cmd:"" help:"Send flows to a running system and print what was seen."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
 // environment is what commands write to; tests replace it.
