--- a/internal/control/peer/dialer.go
+++ b/internal/control/peer/dialer.go
@@ -12,7 +12,9 @@
 
 const (
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	// maxBackoff is short because a restarted agent recovers its flows within 2 s
+	// from the peers that dial it.
+	maxBackoff = 500 * time.Millisecond
 )
 
 // Dialer keeps one control stream to a target.
--- a/internal/platform/shard/elect.go
+++ b/internal/platform/shard/elect.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"agateramp/internal/control/controlpb"
 	"agateramp/internal/platform/store"
 )
 
@@ -219,4 +220,9 @@
 		r.handle(now, c.Shard, h, BalancerConnected{name, incarnation})
 	}
 	r.config.Holders(maps.Clone(r.holders))
+	// Frames for the shard that came before this point were dropped. A Hello on an
+	// open stream asks the balancers to send again what they know.
+	r.config.Send("", &controlpb.Frame{Body: &controlpb.Frame_Hello{Hello: &controlpb.Hello{
+		Role: controlpb.Hello_ROLE_BALANCER, Name: r.config.Name,
+	}}})
 }
