dev: Run the whole path on loopback

Cause: the store adapter takes addresses, not URLs, and the shard holders need the mod revision of the manifest that a configuration was read from.

--- a/internal/cli/commands/dev.go
+++ b/internal/cli/commands/dev.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return errors.WithMessage(errUsage, err.Error())
 	}
-	fmt.Fprintf(env.stdout, "store at http://%s, faults at http://%s/faults\n", listener.Addr(), listener.Addr())
+	fmt.Fprintf(env.stdout, "store at %s, faults at http://%s/faults\n", listener.Addr(), listener.Addr())
 	tasks.Go("store", func(ctx context.Context) error { return server.Serve(ctx, listener) })
 	waitSignal(tasks, notify(syscall.SIGTERM, syscall.SIGINT))
 	tasks.Stop()
--- a/internal/cli/commands/process.go
+++ b/internal/cli/commands/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/platform/etcd"
+	"agateramp/internal/process/certificates"
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
@@ -34,7 +36,7 @@
 		return errors.WithMessage(errUsage, err.Error())
 	}
 	logger := processLogger(env, s.Common)
-	client, err := etcd.New(etcd.Config{Endpoints: s.StoreEndpoints, Name: s.Name})
+	client, err := balancerStore(s)
 	if err != nil {
 		return errors.WithMessage(errUsage, err.Error())
 	}
@@ -42,7 +44,7 @@
 	tasks := group.New(context.Background())
 	signals := notify(syscall.SIGTERM, syscall.SIGINT)
 	b, err := balancer.New(balancer.Config{
-		Settings: s, Store: client, Logger: logger, Metrics: metrics.New(), Group: tasks,
+		Settings: s, Store: client, Seeds: texts(s.Seeds), Logger: logger, Metrics: metrics.New(), Group: tasks,
 	})
 	if err != nil {
 		tasks.Stop()
@@ -56,6 +58,27 @@
 	return tasks.Wait()
 }
 
+func balancerStore(s *settings.Balancer) (client *etcd.Client, err error) {
+	c := etcd.Config{Endpoints: texts(s.StoreEndpoints), Name: s.Name}
+	if s.StoreTLS.Enabled() {
+		files, err := certificates.New(certificates.Config{
+			CertificateFile: s.StoreTLS.CertificateFile, KeyFile: s.StoreTLS.KeyFile, AuthorityFile: s.StoreTLS.AuthorityFile,
+		})
+		if err != nil {
+			return nil, err
+		}
+		c.TLS = files.Client()
+	}
+	return etcd.New(c)
+}
+
+func texts(addresses []netip.AddrPort) (texts []string) {
+	for _, address := range addresses {
+		texts = append(texts, address.String())
+	}
+	return texts
+}
+
 type agentCommand struct {
 	Settings string `required:"" help:"JSON file with the settings of the agent."`
 }
--- a/internal/operator/config/manifest.go
+++ b/internal/operator/config/manifest.go
@@ -36,6 +36,9 @@
 // Manifest describes one version of the configuration. It is a message: the
 // store holds it as JSON.
 type Manifest struct {
+	// modRevision is that of the manifest key, or 0 when it was not read from there.
+	modRevision int64
+
 	Version  uint64 `json:"version"`
 	ChangeID string `json:"change_id"`
 	// Base is the version that the change was made to.
--- a/internal/operator/config/snapshot.go
+++ b/internal/operator/config/snapshot.go
@@ -30,6 +30,10 @@
 // Version returns the version, which is 0 when nothing was applied yet.
 func (s *Snapshot) Version() uint64 { return s.manifest.Version }
 
+// ModRevision returns the mod revision of the manifest key. It is 0 for an
+// earlier version and when nothing was applied yet.
+func (s *Snapshot) ModRevision() int64 { return s.modRevision }
+
 // Manifest returns the manifest, which callers must not change.
 func (s *Snapshot) Manifest() *Manifest { return s.manifest }
 
--- a/internal/operator/config/watch.go
+++ b/internal/operator/config/watch.go
@@ -33,7 +33,7 @@
 		if err != nil {
 			return &readError{err}
 		}
-		return deliver(&Snapshot{manifest: m, source: source})
+		return deliver(&Snapshot{manifest: m, source: source, modRevision: m.modRevision})
 	})
 }
 
@@ -115,7 +115,7 @@
 			if e.Deleted || e.Entry.Key != CurrentKey {
 				continue
 			}
-			m, err := DecodeManifest(e.Entry.Value)
+			m, err := decodeEntry(&e.Entry)
 			if err != nil {
 				return true, err
 			}
--- a/internal/operator/config/write.go
+++ b/internal/operator/config/write.go
@@ -120,6 +120,16 @@
 	if err != nil || entry == nil {
 		return nil, revision, err
 	}
-	m, err = DecodeManifest(entry.Value)
-	return m, revision, err
+	if m, err = decodeEntry(entry); err != nil {
+		return nil, revision, err
+	}
+	return m, revision, nil
+}
+
+func decodeEntry(entry *store.Entry) (m *Manifest, err error) {
+	if m, err = DecodeManifest(entry.Value); err != nil {
+		return nil, err
+	}
+	m.modRevision = entry.ModRevision
+	return m, nil
 }
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -44,10 +44,13 @@
 	c.tls(s)
 }
 
+func (c *checker) tlsFiles(field string, t TLS) {
+	missing := slices.Contains([]string{t.CertificateFile, t.KeyFile, t.AuthorityFile}, "")
+	c.require(field, !missing || t == TLS{}, "certificate_file, key_file and authority_file go together")
+}
+
 func (c *checker) tls(s *Common) {
-	files := []string{s.TLS.CertificateFile, s.TLS.KeyFile, s.TLS.AuthorityFile}
-	empty := slices.Contains(files, "")
-	c.require("tls", !empty || s.TLS == TLS{}, "certificate_file, key_file and authority_file go together")
+	c.tlsFiles("tls", s.TLS)
 	if s.TLS.Enabled() || s.AllowPlaintext {
 		return
 	}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"net/url"
 	"os"
 	"regexp"
 	"strings"
@@ -83,8 +82,13 @@
 // Balancer is the settings of a balancer.
 type Balancer struct {
 	Common
-	// StoreEndpoints are URLs of the platform's key-value service. It must be set.
-	StoreEndpoints []string `json:"store_endpoints"`
+	// StoreEndpoints are addresses of the platform's key-value service. It must be set.
+	StoreEndpoints []netip.AddrPort `json:"store_endpoints"`
+	// StoreTLS holds the certificate files for the key-value service. Empty means plaintext.
+	StoreTLS TLS `json:"store_tls"`
+	// Seeds are control addresses of other balancers, asked for table specs
+	// while the key-value service is down. Empty means none.
+	Seeds []netip.AddrPort `json:"seeds"`
 	// FabricAddresses are the UDP addresses from which the fabric sends packets.
 	// Empty means that only datagram_binds take packets of callers.
 	FabricAddresses []netip.AddrPort `json:"fabric_addresses"`
@@ -148,11 +152,13 @@
 	c := &checker{file: file}
 	c.common(&b.Common)
 	c.require("store_endpoints", len(b.StoreEndpoints) > 0, "at least one endpoint is needed")
-	for i, endpoint := range b.StoreEndpoints {
-		u, parseErr := url.Parse(endpoint)
-		ok := parseErr == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-		c.require(fmt.Sprintf("store_endpoints[%d]", i), ok, fmt.Sprintf("%q is not an http or https URL", endpoint))
+	for i, address := range b.StoreEndpoints {
+		c.address(fmt.Sprintf("store_endpoints[%d]", i), address)
 	}
+	for i, address := range b.Seeds {
+		c.address(fmt.Sprintf("seeds[%d]", i), address)
+	}
+	c.tlsFiles("store_tls", b.StoreTLS)
 	for i, address := range b.FabricAddresses {
 		c.address(fmt.Sprintf("fabric_addresses[%d]", i), address)
 	}
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -35,7 +35,7 @@
 
 // Guards against a role that starts with settings it misunderstood.
 func TestFaultsNameTheField(t *testing.T) {
-	const common = `"name":"b","data_centre":"sapporo-a","data_address":"127.0.0.1:1","store_endpoints":["http://127.0.0.1:2"]`
+	const common = `"name":"b","data_centre":"sapporo-a","data_address":"127.0.0.1:1","store_endpoints":["127.0.0.1:2"]`
 	tests := []struct {
 		name, text, field string
 		load              func(string) error
--- a/internal/standin/system/system.go
+++ b/internal/standin/system/system.go
@@ -74,7 +74,7 @@
 	config  Config
 	history *history.History
 	store   *etcd.Client
-	address string
+	address netip.AddrPort
 	fabric  *fabric.Fabric
 	geneve  *fabric.GenevePort
 
@@ -156,8 +156,8 @@
 		return err
 	}
 	s.config.Group.Go("store", func(ctx context.Context) error { return server.Serve(ctx, listener) })
-	s.address = "http://" + listener.Addr().String()
-	s.store, err = etcd.New(etcd.Config{Endpoints: []string{s.address}, Name: "operator"})
+	s.address = listener.Addr().(*net.TCPAddr).AddrPort()
+	s.store, err = etcd.New(etcd.Config{Endpoints: []string{s.address.String()}, Name: "operator"})
 	return err
 }
 
@@ -203,8 +203,8 @@
 // FabricAddress returns the Geneve address that takes packets of callers.
 func (s *System) FabricAddress() netip.AddrPort { return s.geneve.Address() }
 
-// StoreEndpoint returns the URL of the store.
-func (s *System) StoreEndpoint() string { return s.address }
+// StoreEndpoint returns the address of the store.
+func (s *System) StoreEndpoint() netip.AddrPort { return s.address }
 
 // Group returns the group that runs the system.
 func (s *System) Group() *group.Group { return s.config.Group }
@@ -222,14 +222,14 @@
 	defer s.mu.Unlock()
 	own := &settings.Balancer{
 		Common:          s.common(name, s.config.DataCentres[s.ordered%len(s.config.DataCentres)], loopback),
-		StoreEndpoints:  []string{s.address},
+		StoreEndpoints:  []netip.AddrPort{s.address},
 		FabricAddresses: []netip.AddrPort{s.geneve.Address()},
 	}
 	s.ordered++
 	for _, entry := range s.entries {
 		own.DatagramBinds = append(own.DatagramBinds, settings.DatagramBind{ServiceAddress: entry.Service, BindAddress: loopback})
 	}
-	client, err := etcd.New(etcd.Config{Endpoints: own.StoreEndpoints, Name: name})
+	client, err := etcd.New(etcd.Config{Endpoints: []string{s.address.String()}, Name: name})
 	if err != nil {
 		return err
 	}
