balancer: Keep answers on the way that their flow came in

The balancer answered them from the datagram socket of the same service address, towards the caller's address inside the tunnel; the kernel refused the send (EINVAL, 3 log lines), since a loopback socket has no route there. Ruled out: duplicates at the agents are retransmissions of answered requests; the agent had sent a reply for each. Change: each service address has one way in on a balancer. Packets from the fabric for an address taken as datagrams are dropped as wrong_entry, and only such addresses are answered from their socket. dev gives each service two addresses, one for each way. Conclusion: an address inside the tunnel is never the target of a socket.

--- a/internal/cli/commands/dev.go
+++ b/internal/cli/commands/dev.go
@@ -29,19 +29,25 @@
 	fileMode        = 0o600
 )
 
-// devServices is the first configuration of dev. Requests of the load tool
-// begin with a magic number and sequence 0, which marks the first packet.
+// devServices is the first configuration of dev. The first address of a service
+// takes plain datagrams, the second is reached through Geneve.
 const devServices = `{
   "services": {
     "studio": {
-      "addresses": [{"address": "203.0.113.10:7000", "protocol": "udp"}],
+      "addresses": [
+        {"address": "203.0.113.10:7000", "protocol": "udp"},
+        {"address": "203.0.113.10:7001", "protocol": "udp"}
+      ],
       "first_packet": "any",
       "refusal_hex": "524546555345",
       "queue_deadline_ms": 2000,
       "drain_time_ms": 5000
     },
     "archive": {
-      "addresses": [{"address": "203.0.113.20:7000", "protocol": "udp"}],
+      "addresses": [
+        {"address": "203.0.113.20:7000", "protocol": "udp"},
+        {"address": "203.0.113.20:7001", "protocol": "udp"}
+      ],
       "idempotent": true,
       "first_packet": "any",
       "refusal_hex": "524546555345",
@@ -157,7 +163,7 @@
 		fmt.Fprintf(w, "%s: send datagrams to %s, for example\n", name, entry.Datagram)
 		fmt.Fprintf(w, "  go run . load --target %s --service %d --flows 100 --length 10 --interval-ms 50\n", entry.Datagram, entry.ID)
 		fmt.Fprintf(w, "  go run . load --adapter geneve --fabric %s --target %s --service %d --flows 100 --length 10\n",
-			s.FabricAddress(), entry.Service, entry.ID)
+			s.FabricAddress(), entry.Tunnelled, entry.ID)
 	}
 }
 
--- a/internal/cli/commands/devcheck.go
+++ b/internal/cli/commands/devcheck.go
@@ -90,7 +90,7 @@
 	}
 	entry, _ := s.Entry("studio")
 	transport, err := generator.NewGeneve(generator.GeneveConfig{
-		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Fabric: s.FabricAddress(), Service: entry.Service,
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Fabric: s.FabricAddress(), Service: entry.Tunnelled,
 		Caller: netip.MustParseAddr("198.51.100.1"), Group: s.Group(),
 	})
 	if err != nil {
--- a/internal/core/flow/reason.go
+++ b/internal/core/flow/reason.go
@@ -12,6 +12,9 @@
 	ReasonForeignPeer Reason = "foreign_peer"
 	// ReasonUnknownService is a packet for an address of no service.
 	ReasonUnknownService Reason = "unknown_service"
+	// ReasonWrongEntry is a packet from the fabric for an address that this
+	// balancer takes as plain datagrams.
+	ReasonWrongEntry Reason = "wrong_entry"
 	// ReasonWrongService is a packet for another service than the agent serves.
 	ReasonWrongService Reason = "wrong_service"
 	// ReasonUnknownFlow is a packet that is not the first of a flow nobody owns.
--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -39,7 +39,7 @@
 // NewDataPath opens the sockets of a balancer.
 func NewDataPath(c DataPathConfig) (d *DataPath, err error) {
 	defer func() { err = errors.WithMessage(err, "open data path") }()
-	f := &forwarder{metrics: c.Metrics, limited: logging.NewLimited(c.Logger), fabrics: make(map[netip.AddrPort]struct{})}
+	f := &forwarder{metrics: c.Metrics, limited: logging.NewLimited(c.Logger), fabrics: make(map[netip.AddrPort]struct{}), datagrams: make(map[netip.AddrPort]struct{})}
 	f.scratches.New = func() any { return new(workspace) }
 	f.agents.Store(&map[netip.AddrPort]struct{}{})
 	for _, address := range c.Settings.FabricAddresses {
@@ -75,6 +75,7 @@
 		if _, err = f.services.Bind(bind.ServiceAddress, bind.BindAddress); err != nil {
 			return err
 		}
+		f.datagrams[bind.ServiceAddress] = struct{}{}
 	}
 	return nil
 }
@@ -101,4 +102,3 @@
 
 // Versions returns the newest table version and config version of each service.
 func (d *DataPath) Versions() []*controlpb.Ack { return d.forwarder.router.Versions() }
-
--- a/internal/role/balancer/forward.go
+++ b/internal/role/balancer/forward.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
 	"agateramp/internal/core/router"
@@ -39,6 +37,10 @@
 	metrics  *metrics.Registry
 	limited  *logging.Limited
 	fabrics  map[netip.AddrPort]struct{}
+	// datagrams holds the service addresses taken as plain datagrams. Answers to
+	// their callers leave from the service socket, all others through the fabric:
+	// an address of a caller behind the fabric is never a target of a socket.
+	datagrams map[netip.AddrPort]struct{}
 	// fabric takes packets to callers; it is the zero value without a fabric.
 	fabric    netip.AddrPort
 	agents    atomic.Pointer[map[netip.AddrPort]struct{}]
@@ -70,7 +72,7 @@
 func (f *forwarder) HandleFrame(w *geneve.Writer, from netip.AddrPort, header *flow.Header, packet *flow.Packet) {
 	_, fabric := f.fabrics[from]
 	if header == nil && fabric {
-		f.forward(w, packet)
+		f.fromFabric(w, packet)
 		return
 	}
 	if header == nil || fabric {
@@ -80,6 +82,21 @@
 	f.answer(w, from, header, packet)
 }
 
+func (f *forwarder) fromFabric(w *geneve.Writer, packet *flow.Packet) {
+	if f.datagram(packet.Key) {
+		f.dropped(flow.ReasonWrongEntry)
+		return
+	}
+	f.forward(w, packet)
+}
+
+// datagram reports whether the service address of a flow, its destination, is
+// taken as plain datagrams.
+func (f *forwarder) datagram(key flow.Key) bool {
+	_, ok := f.datagrams[key.Destination()]
+	return ok
+}
+
 // HandleDatagram takes a datagram of a caller from a service socket.
 func (f *forwarder) HandleDatagram(packet *flow.Packet) {
 	f.forward(f.port, packet)
@@ -105,7 +122,7 @@
 	defer f.scratches.Put(space)
 	switch header.Kind {
 	case flow.KindReply:
-		f.toCaller(out, packet.Key.Source(), packet.Key.Destination(), packet)
+		f.toCaller(out, packet)
 	case flow.KindRefuse:
 		f.metrics.Counter("refusals.sent").Inc(1)
 		f.refuse(out, space, packet)
@@ -120,10 +137,10 @@
 }
 
 // toCaller sends a whole IP packet from a service to a caller.
-func (f *forwarder) toCaller(out frameSender, service, caller netip.AddrPort, packet *flow.Packet) {
-	err := f.services.Answer(service, caller, packet.Payload)
-	if !errors.Is(err, datagram.ErrNotBound) {
-		f.sent(err)
+func (f *forwarder) toCaller(out frameSender, packet *flow.Packet) {
+	service, caller := packet.Key.Source(), packet.Key.Destination()
+	if _, ok := f.datagrams[service]; ok {
+		f.sent(f.services.Answer(service, caller, packet.Payload))
 		return
 	}
 	f.toFabric(out, packet.Data)
@@ -149,9 +166,8 @@
 		return
 	}
 	caller, address := packet.Key.Source(), packet.Key.Destination()
-	err := f.services.Answer(address, caller, service.GetRefusal())
-	if !errors.Is(err, datagram.ErrNotBound) {
-		f.sent(err)
+	if f.datagram(packet.Key) {
+		f.sent(f.services.Answer(address, caller, service.GetRefusal()))
 		return
 	}
 	data, err := geneve.AppendUDP(space.buffer[:0], address, caller, service.GetRefusal())
--- a/internal/standin/system/system.go
+++ b/internal/standin/system/system.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
+	"agateramp/internal/control/controlpb"
 	"agateramp/internal/load/history"
 	"agateramp/internal/operator/config"
 	"agateramp/internal/platform/etcd"
@@ -88,10 +89,13 @@
 // Entry is how callers reach a service.
 type Entry struct {
 	ID uint32
-	// Service is the service address.
-	Service netip.AddrPort
-	// Datagram is the fabric's UDP address for callers.
+	// Plain is the service address that balancers take as plain datagrams.
+	Plain netip.AddrPort
+	// Datagram is the fabric's UDP address for callers of Plain.
 	Datagram netip.AddrPort
+	// Tunnelled is the service address that is reached through Geneve. It is the
+	// zero value if the service has only one address.
+	Tunnelled netip.AddrPort
 	// Refusal is the payload of a refusal.
 	Refusal    []byte
 	Idempotent bool
@@ -170,27 +174,36 @@
 	return err
 }
 
-// openServices has the fabric take packets for every service address.
+// openServices has the fabric take packets for every service: plain datagrams
+// for its first address, Geneve for the second.
 func (s *System) openServices(ctx context.Context) (err error) {
 	snapshot, err := config.Load(ctx, s.store)
 	if err != nil {
 		return err
 	}
 	for _, state := range snapshot.Services() {
-		d := state.Definition
-		service, err := netip.ParseAddrPort(d.GetAddresses()[0].GetAddress())
-		if err != nil {
-			return err
+		if err = s.openService(state.Definition); err != nil {
+			return errors.WithMessagef(err, "service %s", state.Definition.GetName())
 		}
-		entry, err := s.fabric.BindService(service, loopback)
-		if err != nil {
+	}
+	return nil
+}
+
+func (s *System) openService(d *controlpb.Service) (err error) {
+	e := Entry{ID: d.GetId(), Refusal: d.GetRefusal(), Idempotent: d.GetIdempotent()}
+	if e.Plain, err = netip.ParseAddrPort(d.GetAddresses()[0].GetAddress()); err != nil {
+		return err
+	}
+	if e.Datagram, err = s.fabric.BindService(e.Plain, loopback); err != nil {
+		return err
+	}
+	if len(d.GetAddresses()) > 1 {
+		if e.Tunnelled, err = netip.ParseAddrPort(d.GetAddresses()[1].GetAddress()); err != nil {
 			return err
 		}
-		s.geneve.Route(service)
-		s.entries[d.GetName()] = Entry{
-			ID: d.GetId(), Service: service, Datagram: entry, Refusal: d.GetRefusal(), Idempotent: d.GetIdempotent(),
-		}
+		s.geneve.Route(e.Tunnelled)
 	}
+	s.entries[d.GetName()] = e
 	return nil
 }
 
@@ -227,7 +240,7 @@
 	}
 	s.ordered++
 	for _, entry := range s.entries {
-		own.DatagramBinds = append(own.DatagramBinds, settings.DatagramBind{ServiceAddress: entry.Service, BindAddress: loopback})
+		own.DatagramBinds = append(own.DatagramBinds, settings.DatagramBind{ServiceAddress: entry.Plain, BindAddress: loopback})
 	}
 	client, err := etcd.New(etcd.Config{Endpoints: []string{s.address.String()}, Name: name})
 	if err != nil {
