owner: Adopt flows lost in a crash, and wait before resets

Traces of broken flows showed flows that began within 50 ms of a crash and were reported to nobody, and first packets that were delayed past the retirement of their version.

--- a/internal/core/owner/admission.go
+++ b/internal/core/owner/admission.go
@@ -42,6 +42,8 @@
 type ask struct {
 	witness  netip.AddrPort
 	sequence uint64
+	// contradicted is set when the witness said that another host has the flow.
+	contradicted bool
 }
 
 // keep returns a copy of a packet and its header that outlives the call.
@@ -226,6 +228,19 @@
 	})
 }
 
+// contradict notes that a witness said that another host has a flow.
+func (a *admission) contradict(key flow.Key, witness netip.AddrPort) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range a.pending {
+		for i := range w.asked {
+			if w.packet.Key == key && w.asked[i].witness == witness {
+				w.asked[i].contradicted = true
+			}
+		}
+	}
+}
+
 // askAgain returns copies of the requests that match and are not confirmed. They
 // keep their sequence, so that a late confirmation still counts.
 func (a *admission) askAgain(p *peerSet, match func(w *waiting, q ask) bool) (again []waiting) {
--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -136,14 +136,17 @@
 }
 
 // tellWitnesses tells the witnesses of a flow that this agent gave it away or
-// refused it; otherwise they would speak against its next owner.
+// refused it; otherwise they would speak against its next owner, and tell this
+// agent after a restart that it had the flow.
 func (c *call) tellWitnesses(e *entry, witnesses []netip.AddrPort) {
 	if e.state != stateClaim && e.state != stateRefused {
 		return
 	}
 	m := c.entryMessage(e)
 	if e.state == stateClaim {
-		m.Owner = encodeAddress(c.owner.hosts.address(e.host))
+		// The end of the earlier flows, without the token of this one, withdraws it.
+		m.Owner, m.Ended = encodeAddress(c.owner.self), true
+		m.FirstPackets = m.FirstPackets[1:]
 	}
 	for _, a := range witnesses {
 		if sequence, ok := c.owner.peers.next(a); ok {
@@ -247,9 +250,13 @@
 		if over && !same {
 			return nil
 		}
-		if !same && recorded == from.peer && known[0] == e.tokens[0] && !e.has(flagOver|flagRefused) {
+		if same && m.GetEnded() && !e.has(flagOver) && known[0] != e.tokens[0] && !known.earlier(e.tokens[0]) {
 			// The owner gave the flow away before it ran.
-			break
+			e.tokens = tokens{}
+			if known[0] == 0 {
+				s.remove(e)
+				return nil
+			}
 		}
 		if same && from.peer != owner {
 			return nil
@@ -268,7 +275,7 @@
 			// told from a flow that ran there, so the caller must not be told that it
 			// did not run.
 			if from.peer != owner {
-				e.flags |= flagContradicted
+				c.owner.admission.contradict(key, from.peer)
 			}
 			return c.entryMessage(e)
 		}
--- a/internal/core/owner/entry.go
+++ b/internal/core/owner/entry.go
@@ -41,8 +41,6 @@
 	flagOver
 	// flagRefused marks a directory entry whose flow was refused.
 	flagRefused
-	// flagContradicted marks a flow awaiting witnesses that another host may have run.
-	flagContradicted
 	// flagRecovered marks a flow learned from a peer after a restart.
 	flagRecovered
 )
@@ -156,6 +154,11 @@
 	// streamGrace is how long a broken stream may stay broken before its peer
 	// counts as unreachable.
 	streamGrace = time.Second
+	// adoptionLimit is how long after its start an agent adopts flows that nobody has.
+	adoptionLimit = 10 * time.Second
+	// settleTime is how long after a table change unknown flows are not reset. It
+	// covers a delayed first packet and the report of the flow.
+	settleTime = 2 * time.Second
 	// ownerLostAfter is how long an owner must be unreachable before its flows are
 	// reset. Resetting after streamGrace broke flows of agents that took longer than
 	// that to restart.
--- a/internal/core/owner/events.go
+++ b/internal/core/owner/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
@@ -29,8 +30,15 @@
 		return false
 	}
 	if old == nil {
+		// A host that just joined is in the newest version at most.
+		versions := spec.GetVersions()
+		oldest := versions[len(versions)-1]
+		o.restarted.Store(slices.ContainsFunc(oldest.GetMembers(), func(m *controlpb.Member) bool {
+			return m.GetAddress() == o.self.String()
+		}))
 		o.recoveryEnds = nanoseconds(max(c.now, o.started), recoveryLimit)
 	}
+	v.settles = nanoseconds(c.now, settleTime)
 	o.view.Store(v)
 	c.view = v
 	o.peers.beginTransfer(c.peersOf(spec), c.now)
--- a/internal/core/owner/first.go
+++ b/internal/core/owner/first.go
@@ -22,11 +22,13 @@
 
 // view is what a table spec says, in the form that decisions need.
 type view struct {
-	table         *table.Table
-	idempotent    bool
-	mode          controlpb.FirstPacket
-	prefix        []byte
-	idle          time.Duration
+	table      *table.Table
+	idempotent bool
+	mode       controlpb.FirstPacket
+	prefix     []byte
+	idle       time.Duration
+	// settles is when resets of unknown flows begin, in nanoseconds since 1970.
+	settles       int64
 	queueDeadline time.Duration
 }
 
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -50,6 +50,8 @@
 
 	view       atomic.Pointer[view]
 	recovering atomic.Bool
+	// restarted is set when the host was in the table before this process started.
+	restarted atomic.Bool
 
 	specMu sync.Mutex
 	// recoveryEnds and acknowledged are guarded by specMu.
--- a/internal/core/owner/path.go
+++ b/internal/core/owner/path.go
@@ -138,6 +138,17 @@
 	c.lookUp(h, p)
 }
 
+// mayAdopt reports whether this agent may have lost the flow of a packet when it
+// restarted: a flow that began just before was not reported to anyone. After the
+// recovery only TCP flows are adopted, which a wrong backend server resets.
+func (c *call) mayAdopt(p *flow.Packet) bool {
+	if !c.owner.restarted.Load() {
+		return false
+	}
+	return c.owner.recovering.Load() ||
+		p.Key.Protocol() == protocolTCP && c.now < c.owner.started+int64(adoptionLimit)
+}
+
 // lookUp passes a packet in the middle of a flow along its path, then to the
 // second choice, and drops it after that.
 func (c *call) lookUp(h *flow.Header, p *flow.Packet) {
@@ -173,16 +184,19 @@
 		return
 	}
 	out.Hop = out.PathLen
-	if c.owner.recovering.Load() {
+	if c.mayAdopt(p) {
 		out.Stage = flow.StageOffer
 		c.pathSelf(&out)
 	}
 	c.pass(&out, p, last)
 }
 
-// unknownFlow ends the search for a flow that nobody has.
+// unknownFlow ends the search for a flow that nobody has. It resets nothing while
+// the owner of a flow that began before the last table change may still have to
+// report it; the caller repeats the packet.
 func (c *call) unknownFlow(h *flow.Header, p *flow.Packet) {
-	if p.Key.Protocol() == protocolTCP && !p.RST && !c.owner.recovering.Load() {
+	settled := !c.owner.recovering.Load() && c.now >= c.view.settles
+	if p.Key.Protocol() == protocolTCP && !p.RST && settled {
 		c.emit(&Reset{Key: p.Key, Reason: flow.ReasonUnknownFlow, Return: h.ReturnAddress, Data: p.Data})
 		return
 	}
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -249,7 +249,6 @@
 // begin delivers the first packet of a flow.
 func (c *call) begin(e *entry, h *flow.Header, p *flow.Packet) {
 	e.state = stateOwned
-	e.flags &^= flagContradicted
 	c.touch(e, p)
 	c.deliver(e, h, p)
 	c.owner.reportFlow(e)
--- a/internal/core/owner/tick.go
+++ b/internal/core/owner/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"agateramp/internal/core/flow"
 )
@@ -33,7 +34,8 @@
 
 // unwitnessed gives up a flow that its witnesses did not confirm in time.
 func (c *call) unwitnessed(e *entry, w *waiting) {
-	if !e.has(flagContradicted) {
+	contradicted := slices.ContainsFunc(w.asked, func(q ask) bool { return q.contradicted })
+	if !contradicted {
 		c.refuse(e, &w.header, &w.packet, flow.ReasonNoWitness)
 		return
 	}
