--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -21,8 +21,16 @@
 // The shard of the entry is locked. The view is read here, since the scan for a
 // new table version may have passed this shard already.
 func (o *Owner) reportFlow(e *entry) {
-	var buffer [2 * flow.MaxPath]netip.AddrPort
-	hosts := o.view.Load().table.AppendDirectory(buffer[:0], e.hash)
+	t := o.view.Load().table
+	var buffer [2*flow.MaxPath + 1]netip.AddrPort
+	hosts := t.AppendDirectory(buffer[:0], e.hash)
+	for _, a := range hosts {
+		if a != o.self && !o.peers.connected(a) {
+			// Its copy is missing until it returns or the next version replaces it.
+			hosts = o.appendHeir(hosts, t, e.hash, o.self)
+			break
+		}
+	}
 	o.peers.enqueue(ref{key: e.key, hash: e.hash}, o.self, hosts)
 }
 
--- a/internal/core/owner/handover.go
+++ b/internal/core/owner/handover.go
@@ -61,10 +61,10 @@
 	c.eachReport(func(e *entry, owner netip.AddrPort) {
 		switch owner {
 		case address:
-			c.tell(e, c.appendHeir(c.view.table.AppendDirectory(buffer[:0], e.hash), e.hash, owner)...)
+			c.tell(e, c.owner.appendHeir(c.view.table.AppendDirectory(buffer[:0], e.hash), c.view.table, e.hash, owner)...)
 		case c.owner.self:
 			if directed(c.view.table, e.hash, address) {
-				c.tell(e, c.appendHeir(buffer[:0], e.hash, owner)...)
+				c.tell(e, c.owner.appendHeir(buffer[:0], c.view.table, e.hash, owner)...)
 			}
 		}
 	})
@@ -81,18 +81,18 @@
 	}
 	var buffer [1]netip.AddrPort
 	c.eachReport(func(e *entry, owner netip.AddrPort) {
-		c.tell(e, c.appendHeir(buffer[:0], e.hash, owner)...)
+		c.tell(e, c.owner.appendHeir(buffer[:0], c.view.table, e.hash, owner)...)
 	})
 	c.flush(netip.AddrPort{})
 }
 
 // appendHeir appends the next member in rendezvous order after the choices of the
 // newest table, if one can be reached.
-func (c *call) appendHeir(to []netip.AddrPort, hash uint64, owner netip.AddrPort) []netip.AddrPort {
-	r := c.view.table.Route(hash)
-	heir := c.view.table.Next(hash, func(a netip.AddrPort) bool {
-		return a == c.owner.self || a == owner || a == r.SecondChoice ||
-			len(r.Hops) > 0 && a == r.Hops[0].Address || !c.owner.peers.connected(a)
+func (o *Owner) appendHeir(to []netip.AddrPort, t *table.Table, hash uint64, owner netip.AddrPort) []netip.AddrPort {
+	r := t.Route(hash)
+	heir := t.Next(hash, func(a netip.AddrPort) bool {
+		return a == o.self || a == owner || a == r.SecondChoice ||
+			len(r.Hops) > 0 && a == r.Hops[0].Address || !o.peers.connected(a)
 	})
 	if heir == nil {
 		return to
--- a/internal/core/owner/packet.go
+++ b/internal/core/owner/packet.go
@@ -16,6 +16,10 @@
 		c.unknown(s, h, p)
 		return
 	}
+	over := e.state == stateEnded || e.state == stateOwned && e.has(flagFinished)
+	if h.Hinted && over && !c.view.first(p) && c.unhint(h, p) {
+		return
+	}
 	switch e.state {
 	case stateOwned:
 		c.owned(s, e, h, p)
@@ -219,22 +223,30 @@
 	c.emit(&Reset{Key: p.Key, Reason: flow.ReasonOwnerLost, Return: h.ReturnAddress, Data: p.Data})
 }
 
+// unhint sends a packet that a hint led here to its path. It reports false when
+// the path begins here. The hint may be of an earlier flow on the key, so an agent
+// whose flow is over must not take the packet for part of it.
+func (c *call) unhint(h *flow.Header, p *flow.Packet) bool {
+	out := *h
+	out.Hinted = false
+	c.refresh(&out, p.Hash)
+	if out.PathLen == 0 {
+		c.drop(flow.ReasonNoHosts)
+		return true
+	}
+	to := c.start(&out)
+	if to == c.owner.self {
+		return false
+	}
+	c.pass(&out, p, to)
+	return true
+}
+
 // unknown decides on a packet of a flow that the map does not hold.
 func (c *call) unknown(s *shard, h *flow.Header, p *flow.Packet) {
 	first := c.view.first(p)
-	if h.Hinted {
-		out := *h
-		out.Hinted = false
-		c.refresh(&out, p.Hash)
-		if out.PathLen == 0 {
-			c.drop(flow.ReasonNoHosts)
-			return
-		}
-		if to := c.start(&out); to != c.owner.self {
-			c.pass(&out, p, to)
-			return
-		}
-		h = &out
+	if h.Hinted && c.unhint(h, p) {
+		return
 	}
 	switch {
 	case first && c.owner.recovering.Load():
--- a/internal/core/owner/path.go
+++ b/internal/core/owner/path.go
@@ -153,6 +153,7 @@
 // second choice, and drops it after that.
 func (c *call) lookUp(h *flow.Header, p *flow.Packet) {
 	out := *h
+	out.Hinted = false
 	if c.refresh(&out, p.Hash) && out.PathLen > 0 {
 		if to := c.start(&out); to != c.owner.self {
 			c.pass(&out, p, to)
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -26,7 +26,7 @@
 	}
 	e.tokens = known
 	out := *h
-	out.Asserted = false
+	out.Asserted, out.Hinted = false, false
 	if h.Asserted && !c.view.idempotent {
 		// The directory says that this agent had the flow, so it may have run.
 		s.remove(e)
