--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -21,8 +21,16 @@
 // The shard of the entry is locked. The view is read here, since the scan for a
 // new table version may have passed this shard already.
 func (o *Owner) reportFlow(e *entry) {
-	var buffer [2 * flow.MaxPath]netip.AddrPort
-	hosts := o.view.Load().table.AppendDirectory(buffer[:0], e.hash)
+	t := o.view.Load().table
+	var buffer [2*flow.MaxPath + 1]netip.AddrPort
+	hosts := t.AppendDirectory(buffer[:0], e.hash)
+	for _, a := range hosts {
+		if a != o.self && !o.peers.connected(a) {
+			// Its copy is missing until it returns or the next version replaces it.
+			hosts = o.appendHeir(hosts, t, e.hash, o.self)
+			break
+		}
+	}
 	o.peers.enqueue(ref{key: e.key, hash: e.hash}, o.self, hosts)
 }
 
@@ -136,14 +144,17 @@
 }
 
 // tellWitnesses tells the witnesses of a flow that this agent gave it away or
-// refused it; otherwise they would speak against its next owner.
+// refused it; otherwise they would speak against its next owner, and tell this
+// agent after a restart that it had the flow.
 func (c *call) tellWitnesses(e *entry, witnesses []netip.AddrPort) {
 	if e.state != stateClaim && e.state != stateRefused {
 		return
 	}
 	m := c.entryMessage(e)
 	if e.state == stateClaim {
-		m.Owner = encodeAddress(c.owner.hosts.address(e.host))
+		// The end of the earlier flows, without the token of this one, withdraws it.
+		m.Owner, m.Ended = encodeAddress(c.owner.self), true
+		m.FirstPackets = m.FirstPackets[1:]
 	}
 	for _, a := range witnesses {
 		if sequence, ok := c.owner.peers.next(a); ok {
@@ -247,9 +258,13 @@
 		if over && !same {
 			return nil
 		}
-		if !same && recorded == from.peer && known[0] == e.tokens[0] && !e.has(flagOver|flagRefused) {
+		if same && m.GetEnded() && !e.has(flagOver) && known[0] != e.tokens[0] && !known.earlier(e.tokens[0]) {
 			// The owner gave the flow away before it ran.
-			break
+			e.tokens = tokens{}
+			if known[0] == 0 {
+				s.remove(e)
+				return nil
+			}
 		}
 		if same && from.peer != owner {
 			return nil
@@ -268,7 +283,7 @@
 			// told from a flow that ran there, so the caller must not be told that it
 			// did not run.
 			if from.peer != owner {
-				e.flags |= flagContradicted
+				c.owner.admission.contradict(key, from.peer)
 			}
 			return c.entryMessage(e)
 		}
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -26,7 +26,7 @@
 	}
 	e.tokens = known
 	out := *h
-	out.Asserted = false
+	out.Asserted, out.Hinted = false, false
 	if h.Asserted && !c.view.idempotent {
 		// The directory says that this agent had the flow, so it may have run.
 		s.remove(e)
@@ -249,7 +249,6 @@
 // begin delivers the first packet of a flow.
 func (c *call) begin(e *entry, h *flow.Header, p *flow.Packet) {
 	e.state = stateOwned
-	e.flags &^= flagContradicted
 	c.touch(e, p)
 	c.deliver(e, h, p)
 	c.owner.reportFlow(e)
