--- a/internal/core/owner/entry.go
+++ b/internal/core/owner/entry.go
@@ -149,9 +149,16 @@
 	defaultIdle = 5 * time.Minute
 	// witnessDeadline is how long a witness may take to confirm a flow.
 	witnessDeadline = 200 * time.Millisecond
+	// askInterval is how long a witness may take before it is asked again.
+	askInterval = 50 * time.Millisecond
 	// streamGrace is how long a broken stream may stay broken before its peer
 	// counts as unreachable.
 	streamGrace = time.Second
+	// adoptionLimit is how long after its start an agent adopts flows that nobody has.
+	adoptionLimit = 10 * time.Second
+	// settleTime is how long after a table change unknown flows are not reset. It
+	// covers a delayed first packet and the report of the flow.
+	settleTime = 2 * time.Second
 	// ownerLostAfter is how long an owner must be unreachable before its flows are
 	// reset. Resetting after streamGrace broke flows of agents that took longer than
 	// that to restart.
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -228,7 +228,7 @@
 	e.state, e.expires = statePending, 0
 	c.noteOffer(e, h)
 	kept.deadline = nanoseconds(c.now, witnessDeadline)
-	kept.known, kept.asked = e.tokens, nil
+	kept.known, kept.witnesses, kept.asked = e.tokens, witnesses, nil
 	for _, a := range witnesses {
 		kept.asked = append(kept.asked, ask{witness: a})
 	}
