weights: Leave hosts at a limit out of the mean

A host that is slower than its weight can express stayed busier than the mean, so the weights of all others rose step by step for minutes.

--- a/internal/core/weights/learn.go
+++ b/internal/core/weights/learn.go
@@ -41,7 +41,7 @@
 		step:      0.25,
 		band:      0.05,
 		fast:      window{batches: 6, ignore: 0.05, doubt: 3},
-		slow:      window{batches: 60, ignore: 0.02, doubt: 3},
+		slow:      window{batches: 120, ignore: 0.02, doubt: 2},
 		gain:      1.5,
 		limit:     8,
 		ramp:      30 * time.Second,
@@ -93,7 +93,7 @@
 func (l *Learner) sample(now time.Time) {
 	sum, n := 0.0, 0.0
 	for _, h := range l.hosts {
-		if h.learns(now) && now.Sub(h.sharedAt) < fresh {
+		if h.learns(now) && now.Sub(h.sharedAt) < fresh && !h.limited(l.rules) {
 			sum += h.share
 			n++
 		}
@@ -178,6 +178,14 @@
 	h.learned = min(announced*r.limit, max(announced/r.limit, h.learned*factor))
 }
 
+// limited reports whether the learned weight is at a limit. Such a host stays more
+// or less busy than the others; if it counted in the mean, the weights of all
+// others would go on moving.
+func (h *host) limited(r rules) bool {
+	announced := float64(h.member.Weight)
+	return h.learned >= announced*r.limit || h.learned <= announced/r.limit
+}
+
 // observeSaturation counts successive saturated heartbeats. Where requests are
 // long, a healthy host is saturated for many seconds at a time; an outlier is
 // saturated for longer than is usual for the host.
--- a/internal/core/weights/queue_test.go
+++ b/internal/core/weights/queue_test.go
@@ -56,6 +56,7 @@
 
 	// figures
 	waits     []time.Duration
+	lateFrom  time.Duration
 	refused   int
 	published int
 	moved     int
@@ -379,8 +380,11 @@
 		case *owner.Refuse, *owner.Drop, *owner.Reset:
 			m.refused++
 		case *owner.Report:
-			// No host dies here, so the directory is not needed.
-			m.effects(h, h.owner.HandleEvent(m.time(), owner.ReportAcked{Peer: e.To, Sequence: e.Report.GetSequence()}, nil))
+			peer := m.byAddress[e.To]
+			m.after(latency, func() {
+				m.effects(peer, peer.owner.HandleEvent(m.time(), owner.ReportReceived{Peer: h.address, Report: e.Report}, nil))
+				m.effects(h, h.owner.HandleEvent(m.time(), owner.ReportAcked{Peer: e.To, Sequence: e.Report.GetSequence()}, nil))
+			})
 		}
 	}
 }
@@ -403,10 +407,12 @@
 func (m *model) serve(h *modelHost, f *modelFlow) {
 	m.advance(h)
 	f.host = h
+	if f.arrived >= m.lateFrom {
+		m.waits = append(m.waits, m.now-f.arrived)
+	}
 	h.busy++
 	h.started++
 	h.maxBusy = max(h.maxBusy, h.busy)
-	m.waits = append(m.waits, m.now-f.arrived)
 	m.after(time.Duration(f.work/h.speed*1e9), func() {
 		m.advance(h)
 		h.busy--
@@ -423,7 +429,7 @@
 
 // reset starts a new period of measurement.
 func (m *model) reset() {
-	m.waits, m.refused = nil, 0
+	m.waits, m.refused, m.lateFrom = nil, 0, m.now
 	for _, h := range m.hosts {
 		h.area, h.changed, h.started, h.maxBusy = 0, m.now, 0, 0
 	}
