geneve: Encode and decode headers with fewer steps

Change: The header is encoded in place, and fields of one-byte tag and value are read without protowire. Benchmarks for both directions. Figures: go test -run '^$' -bench 'Decode|AppendFrame' ./internal/packet/geneve: encoding 153-178 ns before, 73-82 ns after; decoding with a header of two hops 235-265 ns before, 185-192 ns after; 0 allocations. FuzzDecode ran 604,216 inputs in 15 s without a failure.

--- a/internal/packet/geneve/codec.go
+++ b/internal/packet/geneve/codec.go
@@ -61,25 +61,27 @@
 }
 
 // appendOptions appends the header, split so that every option but the last is full.
-func appendOptions(dst []byte, header *flow.Header) ([]byte, error) {
-	var buffer [maxOptions]byte
-	message, err := appendHeader(buffer[:0], header)
+func appendOptions(dst []byte, header *flow.Header) (options []byte, err error) {
+	start := len(dst)
+	dst, err = appendHeader(append(dst, OptionClass>>8, OptionClass&0xff, OptionType, 0), header)
 	if err != nil {
 		return dst, err
 	}
-	for {
-		part := message[:min(len(message), maxOptionData)]
-		message = message[len(part):]
-		words := (len(part) + 3) / 4
-		dst = append(dst, OptionClass>>8, OptionClass&0xff, OptionType, byte(words))
-		dst = append(dst, part...)
-		for range words*4 - len(part) {
-			dst = append(dst, 0)
-		}
-		if len(message) == 0 {
-			return dst, nil
-		}
+	// Headers of IPv4 hosts fit one option; a longer one makes place for each
+	// further option head.
+	for len(dst)-start-optionHeadSize > maxOptionData {
+		next := start + optionHeadSize + maxOptionData
+		dst = append(dst, 0, 0, 0, 0)
+		copy(dst[next+optionHeadSize:], dst[next:])
+		copy(dst[next:], dst[start:start+optionHeadSize])
+		dst[start+3] = maxOptionData / 4
+		start = next
+	}
+	for (len(dst)-start)%4 != 0 {
+		dst = append(dst, 0)
 	}
+	dst[start+3] = byte((len(dst) - start - optionHeadSize) / 4)
+	return dst, nil
 }
 
 // Decoder decodes frames without allocating. It is not safe for concurrent use.
--- a/internal/packet/geneve/codec_test.go
+++ b/internal/packet/geneve/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/netip"
+	"strconv"
 	"testing"
 
 	"github.com/gopacket/gopacket"
@@ -262,3 +263,44 @@
 		}
 	})
 }
+
+func BenchmarkDecode(b *testing.B) {
+	inner, err := geneve.AppendUDP(nil, source4, destination4, make([]byte, 200))
+	is.New(b).NoErr(err)
+	for _, header := range []*flow.Header{nil, typicalHeader()} {
+		frame, err := geneve.AppendFrame(nil, header, inner)
+		is.New(b).NoErr(err)
+		b.Run(strconv.Itoa(len(frame)), func(b *testing.B) {
+			b.ReportAllocs()
+			var d geneve.Decoder
+			var h flow.Header
+			var p flow.Packet
+			for b.Loop() {
+				if _, err := d.Decode(frame, &h, &p); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkAppendFrame(b *testing.B) {
+	inner, err := geneve.AppendUDP(nil, source4, destination4, make([]byte, 200))
+	is.New(b).NoErr(err)
+	header := typicalHeader()
+	buffer := make([]byte, 0, 2048)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := geneve.AppendFrame(buffer, header, inner); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// typicalHeader is that of a packet with two hops between IPv4 hosts.
+func typicalHeader() *flow.Header {
+	return &flow.Header{
+		ServiceID: 300, Version: 500, PathLen: 2, SecondChoice: destination4, ReturnAddress: source4,
+		Path: [flow.MaxPath]flow.Hop{{Address: source4, RoleVersion: 500}, {Address: destination4, RoleVersion: 499}},
+	}
+}
--- a/internal/packet/geneve/header.go
+++ b/internal/packet/geneve/header.go
@@ -73,11 +73,16 @@
 	return 18
 }
 
+// appendTag appends the tag of a field; those of all fields fit one byte.
+func appendTag(dst []byte, field protowire.Number, kind protowire.Type) []byte {
+	return append(dst, byte(field)<<3|byte(kind))
+}
+
 func appendVarint(dst []byte, field protowire.Number, value uint64) []byte {
 	if value == 0 {
 		return dst
 	}
-	return protowire.AppendVarint(protowire.AppendTag(dst, field, protowire.VarintType), value)
+	return binary.AppendUvarint(appendTag(dst, field, protowire.VarintType), value)
 }
 
 func appendBool(dst []byte, field protowire.Number, value bool) []byte {
@@ -92,23 +97,17 @@
 	if size == 0 {
 		return dst
 	}
-	dst = protowire.AppendTag(dst, field, protowire.BytesType)
-	dst = protowire.AppendVarint(dst, uint64(size))
-	return AppendAddress(dst, address)
+	return AppendAddress(append(appendTag(dst, field, protowire.BytesType), byte(size)), address)
 }
 
 func appendHop(dst []byte, hop *flow.Hop) []byte {
-	size := 0
-	if n := addressSize(hop.Address); n > 0 {
-		size += protowire.SizeTag(fieldHopAddress) + protowire.SizeBytes(n)
-	}
-	if hop.RoleVersion > 0 {
-		size += protowire.SizeTag(fieldHopRoleVersion) + protowire.SizeVarint(hop.RoleVersion)
-	}
-	dst = protowire.AppendTag(dst, fieldPath, protowire.BytesType)
-	dst = protowire.AppendVarint(dst, uint64(size))
+	dst = append(appendTag(dst, fieldPath, protowire.BytesType), 0)
+	start := len(dst)
 	dst = appendAddressField(dst, fieldHopAddress, hop.Address)
-	return appendVarint(dst, fieldHopRoleVersion, hop.RoleVersion)
+	dst = appendVarint(dst, fieldHopRoleVersion, hop.RoleVersion)
+	// A hop takes at most 31 bytes, so its length fits one byte.
+	dst[start-1] = byte(len(dst) - start)
+	return dst
 }
 
 // appendHeader appends the PacketHeader message.
@@ -133,7 +132,7 @@
 	return appendBool(dst, fieldAsserted, h.Asserted), nil
 }
 
-// field is one decoded field: varint fields set number, others data.
+// field is one decoded field; number is set for varint fields, data for bytes.
 type field struct {
 	id     protowire.Number
 	kind   protowire.Type
@@ -143,12 +142,27 @@
 
 // nextField reads a field and returns the bytes after it.
 func nextField(b []byte, f *field) (rest []byte, err error) {
+	// Tags of known fields, most numbers and all lengths fit one byte.
+	if len(b) >= 2 && b[0] < 0x80 && b[0] >= 8 && b[1] < 0x80 {
+		value, end := int(b[1]), 2
+		switch f.id, f.kind = protowire.Number(b[0]>>3), protowire.Type(b[0]&7); f.kind {
+		case protowire.VarintType:
+			f.number = uint64(value)
+			return b[end:], nil
+		case protowire.BytesType:
+			if len(b)-end < value {
+				return nil, errHeader
+			}
+			f.data = b[end : end+value]
+			return b[end+value:], nil
+		}
+	}
 	id, kind, n := protowire.ConsumeTag(b)
 	if n < 0 {
 		return nil, errHeader
 	}
 	b = b[n:]
-	f.id, f.kind, f.number, f.data = id, kind, 0, nil
+	f.id, f.kind = id, kind
 	switch kind {
 	case protowire.VarintType:
 		f.number, n = protowire.ConsumeVarint(b)
