shard: Serve a shard whose acquisition answer was lost

Cause: with 30% of the store's answers lost, a balancer held the lease keys of 3 shards that it did not serve: reading the specs after the acquisition had failed, and the lease was kept alive for other shards. These services got no spec. Change: once the key is known to be its own, a balancer repeats the reads; a key that turns up late under its lease is served too. Granting a lease no longer holds up the loop of the holders. Conclusion: TestStoreFaults covers it, and a holder that is cut off from the store.

--- a/internal/control/agents/agents_test.go
+++ b/internal/control/agents/agents_test.go
@@ -1,6 +1,7 @@
 package agents_test
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -15,7 +16,7 @@
 // members, versions and configurations that are lost, or come back, when agents
 // and shard holders are killed and the store is down.
 func TestSystem(t *testing.T) {
-	is := is.New(t)
+	t.Parallel()
 	s := newSystem(t)
 	s.configure(2, nil)
 	for range 3 {
@@ -71,7 +72,7 @@
 	})
 	s.eventually("drain ended at the host", 2*time.Second, func() bool { return !s.hosts[1].draining() })
 
-	s.down.Store(true)
+	s.faults.down.Store(true)
 	var seed string
 	for _, b := range s.balancers {
 		if b != dead {
@@ -80,16 +81,85 @@
 	}
 	late := s.startBalancer(seed)
 	s.eventually("specs learned while the store is down", 5*time.Second, func() bool { return full(late) })
-	s.down.Store(false)
+	s.faults.down.Store(false)
 	s.configure(3, nil)
 	s.eventually("configuration in force after the outage", 15*time.Second, func() bool {
 		return s.everywhere(func(b *balancer) bool { return b.service.InForce() == 4 && len(b.service.Specs()) == 3 })
 	})
+	s.checkReversions()
+}
+
+// TestStoreFaults guards against a holder that goes on without its lease, and
+// against changes that are lost, when answers are lost and the holder of shards
+// is cut off from the store for longer than its lease.
+func TestStoreFaults(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSystem(t)
+	s.configure(4, nil)
+	for range 3 {
+		s.startBalancer()
+	}
+	for i := range 8 {
+		s.startHost(fmt.Sprintf("a%d", i+50), fmt.Sprintf("s%d", 1+i%4))
+	}
+	s.faults.lost.Store(30)
+	for version := uint64(2); version < 8; version++ {
+		s.configure(4, nil)
+		s.eventually("configuration in force while answers are lost", 30*time.Second, func() bool {
+			return s.everywhere(func(b *balancer) bool { return b.service.InForce() == version })
+		})
+	}
+	s.faults.lost.Store(0)
+	s.eventually("every shard held", 10*time.Second, func() bool {
+		return s.everywhere(func(b *balancer) bool { return len(b.service.Holders()) == shard.Shards })
+	})
+
+	paused := s.holderOf(1)
+	fence := paused.service.Holders()[1].Fence
+	paused.store.cut.Store(true)
+	others := func(holds func(b *balancer) bool) func() bool {
+		return func() bool {
+			return s.everywhere(func(b *balancer) bool { return b == paused || holds(b) })
+		}
+	}
+	s.eventually("shard taken from the holder that is cut off", 12*time.Second, others(func(b *balancer) bool {
+		h := b.service.Holders()[1]
+		return h.Fence > fence && h.Name != paused.name
+	}))
+	s.configure(4, nil)
+	s.eventually("configuration in force while the old holder is cut off", 6*time.Second, others(func(b *balancer) bool {
+		return b.service.InForce() == 8
+	}))
+	paused.store.cut.Store(false)
+	s.eventually("old holder knows the new one", 15*time.Second, func() bool {
+		return paused.service.Holders()[1].Fence > fence && paused.service.InForce() == 8
+	})
+	for id := range uint32(4) {
+		e, _, err := s.memory.Get(context.Background(), shard.TableKey(id+1))
+		is.NoErr(err)
+		stored, err := shard.ParseTable(e)
+		is.NoErr(err)
+		is.Equal(stored.Spec.GetConfigVersion(), uint64(8))
+	}
+	s.checkReversions()
+}
+
+func (s *system) checkReversions() {
+	s.t.Helper()
 	for _, b := range s.balancers {
-		is.Equal(len(b.tables.reverted), 0)
+		b.tables.mu.Lock()
+		if len(b.tables.reverted) > 0 {
+			s.t.Errorf("%s: %v", b.name, b.tables.reverted)
+		}
+		b.tables.mu.Unlock()
 	}
 	for _, h := range s.hosts {
-		is.True(!h.reverted)
+		h.mu.Lock()
+		if h.reverted {
+			s.t.Errorf("%s got an older spec", h.name)
+		}
+		h.mu.Unlock()
 	}
 }
 
--- a/internal/control/agents/system_test.go
+++ b/internal/control/agents/system_test.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,96 +25,6 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// view is the store as one balancer sees it: it can be cut off, and counts calls.
-type view struct {
-	store.Store
-	down  *atomic.Bool
-	cut   atomic.Bool
-	calls *atomic.Int64
-}
-
-func (v *view) call(ctx context.Context) error {
-	v.calls.Add(1)
-	if v.down.Load() || v.cut.Load() {
-		select {
-		case <-ctx.Done():
-		case <-time.After(20 * time.Millisecond):
-		}
-		return store.ErrUnavailable
-	}
-	return nil
-}
-
-func (v *view) Get(ctx context.Context, key string) (*store.Entry, int64, error) {
-	if err := v.call(ctx); err != nil {
-		return nil, 0, err
-	}
-	return v.Store.Get(ctx, key)
-}
-
-func (v *view) List(ctx context.Context, prefix string) ([]store.Entry, int64, error) {
-	if err := v.call(ctx); err != nil {
-		return nil, 0, err
-	}
-	return v.Store.List(ctx, prefix)
-}
-
-func (v *view) Txn(ctx context.Context, c []store.Compare, w []store.Write) (store.TxnResult, error) {
-	if err := v.call(ctx); err != nil {
-		return store.TxnResult{}, err
-	}
-	return v.Store.Txn(ctx, c, w)
-}
-
-func (v *view) Grant(ctx context.Context, ttl int64) (store.LeaseID, error) {
-	if err := v.call(ctx); err != nil {
-		return 0, err
-	}
-	return v.Store.Grant(ctx, ttl)
-}
-
-func (v *view) KeepAlive(ctx context.Context, id store.LeaseID) error {
-	if err := v.call(ctx); err != nil {
-		return err
-	}
-	return v.Store.KeepAlive(ctx, id)
-}
-
-func (v *view) Revoke(ctx context.Context, id store.LeaseID) error {
-	if err := v.call(ctx); err != nil {
-		return err
-	}
-	return v.Store.Revoke(ctx, id)
-}
-
-func (v *view) Watch(ctx context.Context, prefix string, revision int64) (store.Watcher, error) {
-	if err := v.call(ctx); err != nil {
-		return nil, err
-	}
-	w, err := v.Store.Watch(ctx, prefix, revision)
-	return &viewWatcher{w, v}, err
-}
-
-type viewWatcher struct {
-	store.Watcher
-	view *view
-}
-
-// Next ends like a watch whose connection breaks when the store goes down.
-func (w *viewWatcher) Next(ctx context.Context) (store.WatchBatch, error) {
-	for {
-		if w.view.down.Load() || w.view.cut.Load() {
-			return store.WatchBatch{}, store.ErrUnavailable
-		}
-		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
-		b, err := w.Watcher.Next(short)
-		cancel()
-		if err == nil || ctx.Err() != nil || short.Err() == nil {
-			return b, err
-		}
-	}
-}
-
 // tables is a router that notes every reversion.
 type tables struct {
 	*router.Router
@@ -189,8 +98,7 @@
 type system struct {
 	t         testing.TB
 	memory    *memory.Store
-	down      atomic.Bool
-	calls     atomic.Int64
+	faults    storeFaults
 	settings  *shard.Settings
 	started   time.Time
 	balancers []*balancer
@@ -244,7 +152,7 @@
 	is.NoErr(err)
 	b := &balancer{
 		name: fmt.Sprintf("b%d", n), group: group.New(context.Background()), metrics: metrics.NewRegistry(),
-		store:  &view{Store: s.memory, down: &s.down, calls: &s.calls},
+		store:  &view{Store: s.memory, faults: &s.faults},
 		tables: &tables{Router: r, newest: map[uint32]*controlpb.TableSpec{}, suspected: map[netip.AddrPort]bool{}},
 	}
 	b.service, err = agents.New(agents.Config{
--- a/internal/platform/shard/elect.go
+++ b/internal/platform/shard/elect.go
@@ -88,11 +88,21 @@
 	if e.Entry.CreateRevision >= r.holders[shard].Fence {
 		r.holders[shard] = HolderInfo{record, e.Entry.CreateRevision}
 	}
+	if r.held[shard] == nil && e.Entry.Lease != 0 && e.Entry.Lease == r.lease.current() {
+		// An attempt that was taken for failed has succeeded late.
+		r.attempt(shard, 0, func() bool { return true })
+	}
 }
 
 // contend attempts to take a free shard after a random time.
 func (r *Runner) contend(shard int) {
 	wait := rand.N(contendSpread) + time.Duration(len(r.held))*heldPenalty
+	r.attempt(shard, wait, func() bool { return r.holders[shard].Fence == 0 })
+}
+
+// attempt takes a shard after a time, unless it is held, an attempt is running or
+// wanted says no by then. It is repeated while it fails.
+func (r *Runner) attempt(shard int, wait time.Duration, wanted func() bool) {
 	r.config.Group.Go("contend for shard", func(ctx context.Context) error {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
@@ -101,102 +111,100 @@
 			return nil
 		case <-timer.C:
 		}
-		free := make(chan bool, 1)
-		r.post(func(time.Time) { free <- r.holders[shard].Fence == 0 && r.held[shard] == nil })
+		start := make(chan bool, 1)
+		r.post(func(time.Time) {
+			ok := r.held[shard] == nil && !r.taking[shard] && wanted()
+			if ok {
+				r.taking[shard] = true
+			}
+			start <- ok
+		})
 		select {
 		case <-ctx.Done():
 			return nil
-		case ok := <-free:
+		case ok := <-start:
 			if !ok {
 				return nil
 			}
 		}
-		err := r.take(ctx, shard)
+		c, err := r.take(ctx, shard)
 		if err != nil && ctx.Err() == nil {
 			_ = level.Info(r.config.Logger).Log("msg", "shard not taken", "shard", shard, "err", err)
-			// The watch tells who has it now; when nobody has, try again.
-			if pause(ctx, time.Second) {
-				r.post(func(time.Time) {
-					if r.holders[shard].Fence == 0 && r.held[shard] == nil {
-						r.contend(shard)
-					}
-				})
-			}
 		}
+		r.post(func(now time.Time) {
+			delete(r.taking, shard)
+			if err == nil {
+				r.taken(now, c)
+				return
+			}
+			// The watch tells who has it now; when nobody has, try again.
+			r.attempt(shard, time.Second+rand.N(time.Second), func() bool { return r.holders[shard].Fence == 0 })
+		})
 		return nil
 	})
 }
 
-// take acquires a shard and reads what its holder starts from.
-func (r *Runner) take(ctx context.Context, shard int) (err error) {
+// take acquires a shard and reads what its holder starts from. An attempt whose
+// answer was lost may have succeeded, so the key decides. Once the key is known
+// to belong to this process, reading is repeated until it succeeds: the lease is
+// kept alive for other shards, so the key would stay and nobody serve it.
+func (r *Runner) take(ctx context.Context, shard int) (c HolderConfig, err error) {
 	defer func() { err = errors.WithMessagef(err, "take shard %d", shard) }()
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	c.Shard = shard
+	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	id, err := r.lease.get(ctx)
+	id, err := r.lease.get(call)
 	if err != nil {
-		return err
+		return c, err
 	}
 	value, err := json.Marshal(HolderRecord{Name: r.config.Name, ControlAddress: r.config.ControlAddress})
 	if err != nil {
-		return err
+		return c, err
 	}
 	key := HolderKey(shard)
-	result, err := r.config.Store.Txn(ctx, []store.Compare{{Key: key, Create: true}},
+	_, err = r.config.Store.Txn(call, []store.Compare{{Key: key, Create: true}},
 		[]store.Write{{Key: key, Value: value, Lease: id}})
 	if errors.Is(err, store.ErrLeaseNotFound) {
 		r.lease.forget(id)
-		return err
-	}
-	if err == nil && !result.Succeeded {
-		return errors.New("another balancer has it")
-	}
-	// The answer may have been lost, so the key decides whether it was taken.
-	e, _, err := r.config.Store.Get(ctx, key)
-	if err != nil {
-		return err
+		return c, err
 	}
-	if e == nil || e.Lease != id {
-		return errors.New("another balancer has it")
-	}
-	c := HolderConfig{Shard: shard, Fence: e.CreateRevision}
-	if err = r.read(ctx, &c); err != nil {
-		r.giveBack(key, c.Fence)
-		return err
+	for wait := minRetry; ; wait = min(2*wait, maxRetry) {
+		var mine bool
+		if mine, err = r.read(ctx, id, &c); err == nil && mine {
+			return c, nil
+		}
+		if err == nil {
+			return c, errors.New("it is not held under the lease of this process")
+		}
+		if !pause(ctx, wait) {
+			return c, err
+		}
 	}
-	r.post(func(now time.Time) { r.taken(now, c) })
-	return nil
 }
 
-// read reads what a new holder starts from, after the shard was taken.
-func (r *Runner) read(ctx context.Context, c *HolderConfig) (err error) {
+// read reads what a new holder starts from, provided that the shard is held
+// under the given lease.
+func (r *Runner) read(ctx context.Context, id store.LeaseID, c *HolderConfig) (mine bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, _, err := r.config.Store.Get(ctx, HolderKey(c.Shard))
+	if err != nil || e == nil || e.Lease != id {
+		return false, err
+	}
+	c.Fence = e.CreateRevision
 	if c.Stored, err = listTables(ctx, r.config.Store); err != nil {
-		return err
+		return false, err
 	}
 	manifest, _, err := r.config.Store.Get(ctx, ConfigKey)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if manifest != nil {
 		c.MinSettings = manifest.ModRevision
 	}
 	entries, _, err := r.config.Store.List(ctx, BalancerPrefix)
 	c.Balancers = balancerNames(entries)
-	return err
-}
-
-// giveBack deletes a key that was taken but cannot be served. It repeats until
-// the store answers, because the lease of the key is kept for other shards.
-func (r *Runner) giveBack(key string, fence int64) {
-	ctx := r.config.Group.Context()
-	for wait := minRetry; ; wait = min(2*wait, maxRetry) {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := r.config.Store.Txn(call, []store.Compare{{Key: key, Create: true, Revision: fence}},
-			[]store.Write{{Key: key, Delete: true}})
-		cancel()
-		if err == nil || !pause(ctx, wait) {
-			return
-		}
-	}
+	return err == nil, err
 }
 
 func (r *Runner) taken(now time.Time, c HolderConfig) {
--- a/internal/platform/shard/lease.go
+++ b/internal/platform/shard/lease.go
@@ -22,21 +22,28 @@
 type lease struct {
 	store store.Store
 	ttl   int64
-	mu    sync.Mutex
-	id    store.LeaseID
+	// granting is held during a call, so that mu is never held for long: the loop
+	// of the holders takes it. It is taken before mu.
+	granting sync.Mutex
+	mu       sync.Mutex
+	id       store.LeaseID
 }
 
 func newLease(s store.Store, ttlSeconds int64) *lease { return &lease{store: s, ttl: ttlSeconds} }
 
 func (l *lease) get(ctx context.Context) (id store.LeaseID, err error) {
+	l.granting.Lock()
+	defer l.granting.Unlock()
+	if id = l.current(); id != 0 {
+		return id, nil
+	}
+	if id, err = l.store.Grant(ctx, l.ttl); err != nil {
+		return 0, err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.id == 0 {
-		if l.id, err = l.store.Grant(ctx, l.ttl); err != nil {
-			return 0, err
-		}
-	}
-	return l.id, nil
+	l.id = id
+	return id, nil
 }
 
 // current returns the id of the lease, or 0 when there is none.
--- a/internal/platform/shard/runner.go
+++ b/internal/platform/shard/runner.go
@@ -58,7 +58,9 @@
 	settings *Settings
 	holders  map[int]HolderInfo
 	held     map[int]*held
-	streams  map[string]uint64
+	// taking holds the shards that an attempt to take is running for.
+	taking  map[int]bool
+	streams map[string]uint64
 }
 
 // held is a shard that this process holds.
@@ -83,7 +85,7 @@
 	}
 	r = &Runner{
 		config: config, events: make(chan func(time.Time), 4096), holding: make(chan struct{}, 1),
-		holders: map[int]HolderInfo{}, held: map[int]*held{}, streams: map[string]uint64{},
+		holders: map[int]HolderInfo{}, held: map[int]*held{}, taking: map[int]bool{}, streams: map[string]uint64{},
 	}
 	r.lease = newLease(config.Store, shardLeaseSeconds)
 	config.Group.Go("shard holders", r.loop)
