owner: Decide on no first packet during recovery

A first packet that met a recovered entry of an earlier flow on its key was taken for new work and ran again, because the newer entry came later in the recovery. All first packets wait for its end now. A directory entry no longer marks the flow of a claim as an earlier one, and only an agent that the table lists with another incarnation adopts flows.

--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -320,7 +320,12 @@
 
 // remote makes an entry the directory entry of another host's flow.
 func (c *call) remote(e *entry, owner netip.AddrPort, m *controlpb.FlowEntry, known tokens) {
-	e.tokens = known.merge(e.tokens)
+	old := e.tokens
+	if e.state == stateClaim && old[0] != known[0] {
+		// The flow of a claim may be the next on the key rather than an earlier one.
+		old[0] = 0
+	}
+	e.tokens = known.merge(old)
 	e.state, e.flags, e.expires = stateRemote, 0, 0
 	e.host, e.port = c.owner.hosts.number(owner), uint16(m.GetLocalPort())
 	if m.GetEnded() {
--- a/internal/core/owner/events.go
+++ b/internal/core/owner/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
@@ -30,12 +29,7 @@
 		return false
 	}
 	if old == nil {
-		// A host that just joined is in the newest version at most.
-		versions := spec.GetVersions()
-		oldest := versions[len(versions)-1]
-		o.restarted.Store(slices.ContainsFunc(oldest.GetMembers(), func(m *controlpb.Member) bool {
-			return m.GetAddress() == o.self.String()
-		}))
+		o.restarted.Store(c.listedBefore(spec))
 		o.recoveryEnds = nanoseconds(max(c.now, o.started), recoveryLimit)
 	}
 	v.settles = nanoseconds(c.now, settleTime)
@@ -56,6 +50,19 @@
 	return old == nil
 }
 
+// listedBefore reports whether a spec lists an earlier process of this agent.
+func (c *call) listedBefore(spec *controlpb.TableSpec) bool {
+	self := c.owner.self.String()
+	for _, version := range spec.GetVersions() {
+		for _, m := range version.GetMembers() {
+			if m.GetAddress() == self && m.GetIncarnation() != c.owner.incarnation && c.owner.incarnation != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // peersOf returns the other agents of all retained versions.
 func (c *call) peersOf(spec *controlpb.TableSpec) (addresses []netip.AddrPort) {
 	for _, version := range spec.GetVersions() {
--- a/internal/core/owner/hosts_test.go
+++ b/internal/core/owner/hosts_test.go
@@ -32,6 +32,8 @@
 	service *simService
 	owner   *Owner
 	alive   bool
+	// incarnation counts the agents that ran beside the backend server.
+	incarnation uint64
 	// restarting is set from the order to restart the agent until it started.
 	restarting bool
 	// drained is when the agent was told to drain.
@@ -73,7 +75,7 @@
 	for _, m := range s.members {
 		version.Members = append(version.Members, &controlpb.Member{
 			Host: m.GetHost(), Address: m.GetAddress(), DataCentre: m.GetDataCentre(),
-			Weight: m.GetWeight(), Draining: m.GetDraining(), Slots: m.GetSlots(),
+			Weight: m.GetWeight(), Draining: m.GetDraining(), Slots: m.GetSlots(), Incarnation: m.GetIncarnation(),
 		})
 	}
 	next.Versions = append(next.Versions, version)
@@ -152,7 +154,7 @@
 func (h *simHost) member(weight uint32) *controlpb.Member {
 	return &controlpb.Member{
 		Host: h.name, Address: h.address.String(), DataCentre: fmt.Sprintf("dc-%d", h.address.Addr().As4()[3]%3),
-		Weight: weight, Slots: uint32(h.slots),
+		Weight: weight, Slots: uint32(h.slots), Incarnation: h.incarnation,
 	}
 }
 
@@ -162,7 +164,8 @@
 		return
 	}
 	udp := h.service.service.GetFirstPacket() == controlpb.FirstPacket_FIRST_PACKET_PREFIX
-	o, err := New(Config{Self: h.address, Slots: h.slots, Connections: 40, AnswersSeen: udp, Started: n.now})
+	h.incarnation++
+	o, err := New(Config{Self: h.address, Slots: h.slots, Connections: 40, AnswersSeen: udp, Started: n.now, Incarnation: h.incarnation})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -37,6 +37,9 @@
 	AnswersSeen bool
 	// MaxFlows bounds the flow map, directory entries included. Empty means 200,000.
 	MaxFlows int
+	// Incarnation is the one that this process announces. Empty means that the agent
+	// adopts no flows that it may have lost in a restart.
+	Incarnation uint64
 	// Started is when the process started. Recovery ends 2 s after that or after
 	// the first table spec, whichever is later. It must be set.
 	Started time.Time
@@ -44,9 +47,11 @@
 
 // Owner holds the flow map of an agent. Its methods are safe for concurrent use.
 type Owner struct {
-	self       netip.AddrPort
-	started    int64
-	shardLimit int
+	self    netip.AddrPort
+	started int64
+	// incarnation differs from that of earlier processes of the agent.
+	incarnation uint64
+	shardLimit  int
 
 	view       atomic.Pointer[view]
 	recovering atomic.Bool
@@ -87,9 +92,10 @@
 		c.MaxFlows = defaultMaxFlows
 	}
 	o = &Owner{
-		self:       c.Self,
-		started:    c.Started.UnixNano(),
-		shardLimit: (c.MaxFlows + shardCount - 1) / shardCount,
+		self:        c.Self,
+		started:     c.Started.UnixNano(),
+		incarnation: c.Incarnation,
+		shardLimit:  (c.MaxFlows + shardCount - 1) / shardCount,
 		admission: admission{
 			slots:       c.Slots,
 			connections: c.Connections,
--- a/internal/core/owner/packet.go
+++ b/internal/core/owner/packet.go
@@ -16,6 +16,11 @@
 		c.unknown(s, h, p)
 		return
 	}
+	if c.owner.recovering.Load() && c.view.first(p) {
+		// The entry may be of an earlier flow on the key than peers still report.
+		c.park(h, p)
+		return
+	}
 	over := e.state == stateEnded || e.state == stateOwned && e.has(flagFinished)
 	if h.Hinted && over && !c.view.first(p) && c.unhint(h, p) {
 		return
@@ -250,9 +255,7 @@
 	}
 	switch {
 	case first && c.owner.recovering.Load():
-		if !c.owner.admission.park(keep(h, p, 0, 0)) {
-			c.drop(flow.ReasonTableFull)
-		}
+		c.park(h, p)
 	case first:
 		c.first(s, nil, h, p, tokenOf(p))
 	case h.Asserted:
@@ -262,6 +265,13 @@
 	}
 }
 
+// park keeps a first packet until the end of recovery.
+func (c *call) park(h *flow.Header, p *flow.Packet) {
+	if !c.owner.admission.park(keep(h, p, 0, 0)) {
+		c.drop(flow.ReasonTableFull)
+	}
+}
+
 // adopt takes over a flow that a directory entry says is of this agent.
 func (c *call) adopt(s *shard, h *flow.Header, p *flow.Packet) {
 	if !c.room(s) {
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -47,6 +47,11 @@
 
 // renew ends a flow of this agent and places the one that reuses its key.
 func (c *call) renew(s *shard, e *entry, h *flow.Header, p *flow.Packet, token uint32) {
+	if h.Asserted && !c.view.idempotent {
+		// The directory says that this agent had the new flow, so it may have run.
+		c.emit(&Reset{Key: p.Key, Reason: flow.ReasonOwnerLost, Return: h.ReturnAddress, Data: p.Data})
+		return
+	}
 	if e.state == stateOwned {
 		c.closeFlow(e)
 	}
