--- a/internal/core/owner/first.go
+++ b/internal/core/owner/first.go
@@ -22,6 +22,8 @@
 
 // view is what a table spec says, in the form that decisions need.
 type view struct {
+	// versions holds a table of each retained version, newest first.
+	versions   []*table.Table
 	table      *table.Table
 	idempotent bool
 	mode       controlpb.FirstPacket
@@ -49,6 +51,16 @@
 	if v.idle == 0 {
 		v.idle = defaultIdle
 	}
+	for _, version := range spec.GetVersions() {
+		one, err := table.Build(&controlpb.TableSpec{
+			ServiceId: spec.GetServiceId(), ConfigVersion: spec.GetConfigVersion(),
+			Versions: []*controlpb.TableVersion{version},
+		})
+		if err != nil {
+			return nil, err
+		}
+		v.versions = append(v.versions, one)
+	}
 	return v, nil
 }
 
--- a/internal/core/owner/path.go
+++ b/internal/core/owner/path.go
@@ -17,13 +17,34 @@
 }
 
 // setPath makes the path of a header the first choices from the newest version
-// of this agent down to a version.
+// of this agent down to a version. The second choice of a version takes the place
+// of its first choice when that is unreachable: if the hop were left out, paths of
+// different versions would no longer share a host that decides.
 func (c *call) setPath(out *flow.Header, hash, oldest uint64) {
-	hops := c.view.table.AppendPath(out.Path[:0:flow.MaxPath], hash, oldest)
-	out.PathLen, out.Hop = len(hops), 0
+	out.PathLen, out.Hop, out.FirstSuspected = 0, 0, false
 	out.Version = c.view.table.Version()
 	out.SecondChoice = c.view.table.Route(hash).SecondChoice
-	out.FirstSuspected = false
+	for i, t := range c.view.versions {
+		r := t.Route(hash)
+		if t.Version() < oldest || len(r.Hops) == 0 {
+			continue
+		}
+		a := r.Hops[0].Address
+		if c.unreachable(a) && r.SecondChoice.IsValid() && !c.unreachable(r.SecondChoice) {
+			a = r.SecondChoice
+			out.FirstSuspected = out.FirstSuspected || i == 0
+		}
+		if n := out.PathLen; n > 0 && out.Path[n-1].Address == a {
+			out.Path[n-1].RoleVersion = t.Version()
+			continue
+		}
+		out.Path[out.PathLen] = flow.Hop{Address: a, RoleVersion: t.Version()}
+		out.PathLen++
+	}
+}
+
+func (c *call) unreachable(a netip.AddrPort) bool {
+	return a != c.owner.self && c.owner.peers.dead(a, c.now)
 }
 
 // pathSelf makes this agent the only hop of a path, which is where an offered
@@ -47,6 +68,21 @@
 	return true
 }
 
+// extend gives a packet of the present version the hops that its balancer left out
+// because it suspected them, with those that take their place.
+func (c *call) extend(out *flow.Header, hash uint64) {
+	t := c.view.table
+	if out.Version != t.Version() || out.Path[out.PathLen-1].RoleVersion <= t.OldestVersion() {
+		return
+	}
+	full := *out
+	c.setPath(&full, hash, 0)
+	if hop, ok := c.position(&full); ok {
+		full.Hop = hop
+		*out = full
+	}
+}
+
 // start returns the host at which the path of a packet begins. The second choice
 // takes the place of an unreachable first choice, as balancers have it.
 func (c *call) start(out *flow.Header) netip.AddrPort {
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -70,6 +70,7 @@
 		c.drop(flow.ReasonNoHosts)
 		return
 	}
+	c.extend(out, p.Hash)
 	hop, ok := c.position(out)
 	if rebuilt || !ok {
 		if to := c.start(out); to != c.owner.self {
