--- a/internal/core/owner/callers_test.go
+++ b/internal/core/owner/callers_test.go
@@ -69,6 +69,7 @@
 		return
 	}
 	c.tries++
+	c.n.log("flow %d from port %d, try %d", c.id, c.key.Source().Port(), c.tries)
 	c.n.spray(c.packet(0))
 	c.n.after(retransmission, c.open)
 }
--- a/internal/core/owner/packet.go
+++ b/internal/core/owner/packet.go
@@ -22,7 +22,7 @@
 		return
 	}
 	over := e.state == stateEnded || e.state == stateOwned && e.has(flagFinished)
-	if h.Hinted && over && !c.view.first(p) && c.unhint(h, p) {
+	if h.Hinted && over && !c.view.first(p) && c.unhint(h, p, false) {
 		return
 	}
 	switch e.state {
@@ -230,8 +230,9 @@
 
 // unhint sends a packet that a hint led here to its path. It reports false when
 // the path begins here. The hint may be of an earlier flow on the key, so an agent
-// whose flow is over must not take the packet for part of it.
-func (c *call) unhint(h *flow.Header, p *flow.Packet) bool {
+// whose flow is over must not take the packet for part of it, nor avoid a first
+// choice that may only be unreachable from here.
+func (c *call) unhint(h *flow.Header, p *flow.Packet, avoid bool) bool {
 	out := *h
 	out.Hinted = false
 	c.refresh(&out, p.Hash)
@@ -239,7 +240,11 @@
 		c.drop(flow.ReasonNoHosts)
 		return true
 	}
-	to := c.start(&out)
+	out.Hop = 0
+	to := out.Path[0].Address
+	if avoid {
+		to = c.start(&out)
+	}
 	if to == c.owner.self {
 		return false
 	}
@@ -250,7 +255,7 @@
 // unknown decides on a packet of a flow that the map does not hold.
 func (c *call) unknown(s *shard, h *flow.Header, p *flow.Packet) {
 	first := c.view.first(p)
-	if h.Hinted && c.unhint(h, p) {
+	if h.Hinted && c.unhint(h, p, true) {
 		return
 	}
 	switch {
--- a/internal/core/owner/path.go
+++ b/internal/core/owner/path.go
@@ -16,17 +16,17 @@
 	c.emit(&Pass{To: to, Header: *out, Data: p.Data})
 }
 
-// setPath makes the path of a header the first choices from the newest version
-// of this agent down to a version. The second choice of a version takes the place
-// of its first choice when that is unreachable: if the hop were left out, paths of
-// different versions would no longer share a host that decides.
-func (c *call) setPath(out *flow.Header, hash, oldest uint64) {
+// setPath makes the path of a header the first choices of all versions that this
+// agent retains. The second choice of a version takes the place of its first choice
+// when that is unreachable: if the hop were left out, paths of different versions
+// would no longer share a host that decides.
+func (c *call) setPath(out *flow.Header, hash uint64) {
 	out.PathLen, out.Hop, out.FirstSuspected = 0, 0, false
 	out.Version = c.view.table.Version()
 	out.SecondChoice = c.view.table.Route(hash).SecondChoice
 	for i, t := range c.view.versions {
 		r := t.Route(hash)
-		if t.Version() < oldest || len(r.Hops) == 0 {
+		if len(r.Hops) == 0 {
 			continue
 		}
 		a := r.Hops[0].Address
@@ -60,11 +60,7 @@
 	if out.PathLen > 0 && out.Version >= c.view.table.Version() {
 		return false
 	}
-	oldest := uint64(0)
-	if out.PathLen > 0 {
-		oldest = out.Path[out.PathLen-1].RoleVersion
-	}
-	c.setPath(out, hash, oldest)
+	c.setPath(out, hash)
 	return true
 }
 
@@ -76,7 +72,7 @@
 		return
 	}
 	full := *out
-	c.setPath(&full, hash, 0)
+	c.setPath(&full, hash)
 	if hop, ok := c.position(&full); ok {
 		full.Hop = hop
 		*out = full
