owner: Agree on a host when the first choice is suspected

The agent now builds the path from the second choices of all retained versions, so the oldest of them decides.

--- a/internal/core/owner/flowmap.go
+++ b/internal/core/owner/flowmap.go
@@ -9,10 +9,10 @@
 const (
 	shardBits  = 6
 	shardCount = 1 << shardBits
-	chunkBits  = 7
+	chunkBits  = 5
 	chunkSize  = 1 << chunkBits
 	// minIndex is the first size of the index of a shard.
-	minIndex = 64
+	minIndex = 16
 	// evictionSample is how many entries are looked at to find one to evict.
 	evictionSample = 32
 )
--- a/internal/core/owner/network_test.go
+++ b/internal/core/owner/network_test.go
@@ -201,8 +201,9 @@
 		if h == nil || !h.alive || h.owner == nil {
 			return
 		}
-		n.log("%s handles %s hop %d/%d stage %d asserted %v passes %d version %d", h.name, describePacket(p),
-			header.Hop, header.PathLen, header.Stage, header.Asserted, header.Passes, header.Version)
+		n.log("%s handles %s hop %d/%d stage %d asserted %v passes %d version %d path %v suspected %v", h.name, describePacket(p),
+			header.Hop, header.PathLen, header.Stage, header.Asserted, header.Passes, header.Version,
+			header.Path[:header.PathLen], header.FirstSuspected)
 		in := header
 		n.perform(h, &header, h.owner.HandlePacket(n.now, &in, p, nil))
 	})
@@ -232,7 +233,7 @@
 			n.receive(h, p, e.Return)
 		case *Pass:
 			p := n.callers[binary.BigEndian.Uint32(e.Data[32:])].packet(int(e.Data[36]))
-			n.log("%s passes %s to %v", h.name, describePacket(p), e.To)
+			n.log("%s passes %s to %v stage %d path %v", h.name, describePacket(p), e.To, e.Header.Stage, e.Header.Path[:e.Header.PathLen])
 			n.forward(e.To, e.Header, p)
 		case *Refuse:
 			n.log("%s refuses %s: %s", h.name, describePacket(packetOf(e.Key, e.Data)), e.Reason)
--- a/internal/core/owner/path.go
+++ b/internal/core/owner/path.go
@@ -20,7 +20,7 @@
 // agent retains. The second choice of a version takes the place of its first choice
 // when that is unreachable: if the hop were left out, paths of different versions
 // would no longer share a host that decides.
-func (c *call) setPath(out *flow.Header, hash uint64) {
+func (c *call) setPath(out *flow.Header, hash uint64, suspect netip.AddrPort) {
 	out.PathLen, out.Hop, out.FirstSuspected = 0, 0, false
 	out.Version = c.view.table.Version()
 	out.SecondChoice = c.view.table.Route(hash).SecondChoice
@@ -30,7 +30,7 @@
 			continue
 		}
 		a := r.Hops[0].Address
-		if c.unreachable(a) && r.SecondChoice.IsValid() && !c.unreachable(r.SecondChoice) {
+		if (a == suspect || c.unreachable(a)) && r.SecondChoice.IsValid() && !c.unreachable(r.SecondChoice) {
 			a = r.SecondChoice
 			out.FirstSuspected = out.FirstSuspected || i == 0
 		}
@@ -60,19 +60,34 @@
 	if out.PathLen > 0 && out.Version >= c.view.table.Version() {
 		return false
 	}
-	c.setPath(out, hash)
+	c.setPath(out, hash, c.suspect(out, hash))
 	return true
 }
 
+// suspect returns the first choice that a balancer suspected, or the zero value.
+func (c *call) suspect(h *flow.Header, hash uint64) netip.AddrPort {
+	if !h.FirstSuspected {
+		return netip.AddrPort{}
+	}
+	for _, t := range c.view.versions {
+		if r := t.Route(hash); t.Version() == h.Version && len(r.Hops) > 0 {
+			return r.Hops[0].Address
+		}
+	}
+	return netip.AddrPort{}
+}
+
 // extend gives a packet of the present version the hops that its balancer left out
-// because it suspected them, with those that take their place.
+// because it suspected them, with those that take their place. Second choices differ
+// between versions, so the one of the newest must not decide alone.
 func (c *call) extend(out *flow.Header, hash uint64) {
 	t := c.view.table
-	if out.Version != t.Version() || out.Path[out.PathLen-1].RoleVersion <= t.OldestVersion() {
+	complete := out.Path[out.PathLen-1].RoleVersion <= t.OldestVersion()
+	if out.Version != t.Version() || complete && !out.FirstSuspected {
 		return
 	}
 	full := *out
-	c.setPath(&full, hash)
+	c.setPath(&full, hash, c.suspect(out, hash))
 	if hop, ok := c.position(&full); ok {
 		full.Hop = hop
 		*out = full
