owner: Speed up the lookup of an owned flow

Two cache misses and an allocation dominated the lookup. The index holds 32-bit slots with bits of the hash, entries are 80 bytes, and a Deliver effect reuses the memory of the slice it is appended to.

--- a/internal/core/owner/entry.go
+++ b/internal/core/owner/entry.go
@@ -92,8 +92,8 @@
 	hash  uint64
 	// expires is when the entry ends, in nanoseconds since 1970; 0 is never.
 	expires int64
-	// role is the role version of the next host of a claim.
-	role   uint64
+	// role is the role version of the next host of a claim. Versions fit 32 bits.
+	role   uint32
 	tokens tokens
 	// host is the index of the owner or of the next host, for claims and remotes,
 	// and of the agent that offered the flow, when it waits here for its witness or
--- a/internal/core/owner/flowmap.go
+++ b/internal/core/owner/flowmap.go
@@ -11,6 +11,10 @@
 	shardCount = 1 << shardBits
 	chunkBits  = 5
 	chunkSize  = 1 << chunkBits
+	// numberMask selects the number of an entry in a slot of the index.
+	numberMask = 1<<20 - 1
+	// maxShardFlows keeps numbers within numberMask.
+	maxShardFlows = numberMask - chunkSize
 	// minIndex is the first size of the index of a shard.
 	minIndex = 16
 	// evictionSample is how many entries are looked at to find one to evict.
@@ -24,12 +28,13 @@
 
 func (m *flowMap) shard(hash uint64) *shard { return &m.shards[hash>>(64-shardBits)] }
 
-// shard is one part of the flow map. Entries lie in chunks that do not move, and
-// index is an open-addressing table of their numbers plus one.
+// shard is one part of the flow map. Entries lie in chunks that do not move. The
+// index is an open-addressing table of their numbers plus one, each beside a few bits
+// of its hash, so that a lookup seldom touches another entry.
 type shard struct {
 	mu     sync.Mutex
 	index  []uint32
-	chunks [][]entry
+	chunks []*[chunkSize]entry
 	free   []uint32
 	used   int
 	hand   uint32
@@ -37,7 +42,12 @@
 
 func (s *shard) at(n uint32) *entry { return &s.chunks[n>>chunkBits][n&(chunkSize-1)] }
 
-func (s *shard) home(hash uint64) uint32 { return uint32(hash>>16) & uint32(len(s.index)-1) }
+func (s *shard) home(hash uint64) uint32 { return uint32(hash>>32) & uint32(len(s.index)-1) }
+
+func slotOf(n uint32, hash uint64) uint32 { return uint32(hash)&^numberMask | (n + 1) }
+
+// numberOf returns the number of the entry of a slot in use.
+func numberOf(slot uint32) uint32 { return slot&numberMask - 1 }
 
 // find returns the entry of a flow, or nil.
 func (s *shard) find(hash uint64, key *flow.Key) *entry {
@@ -46,7 +56,11 @@
 	}
 	mask := uint32(len(s.index) - 1)
 	for i := s.home(hash); s.index[i] != 0; i = (i + 1) & mask {
-		if e := s.at(s.index[i] - 1); e.hash == hash && e.key == *key {
+		slot := s.index[i]
+		if (slot^uint32(hash))&^numberMask != 0 {
+			continue
+		}
+		if e := s.at(numberOf(slot)); e.hash == hash && e.key == *key {
 			return e
 		}
 	}
@@ -60,7 +74,7 @@
 	}
 	if len(s.free) == 0 {
 		base := uint32(len(s.chunks)) << chunkBits
-		s.chunks = append(s.chunks, make([]entry, chunkSize))
+		s.chunks = append(s.chunks, new([chunkSize]entry))
 		for n := uint32(chunkSize); n > 0; n-- {
 			s.free = append(s.free, base+n-1)
 		}
@@ -80,15 +94,15 @@
 	for s.index[i] != 0 {
 		i = (i + 1) & mask
 	}
-	s.index[i] = n + 1
+	s.index[i] = slotOf(n, hash)
 }
 
 func (s *shard) grow() {
 	old := s.index
 	s.index = make([]uint32, max(minIndex, 2*len(old)))
-	for _, n := range old {
-		if n != 0 {
-			s.link(n-1, s.at(n-1).hash)
+	for _, slot := range old {
+		if slot != 0 {
+			s.link(numberOf(slot), s.at(numberOf(slot)).hash)
 		}
 	}
 }
@@ -97,15 +111,15 @@
 func (s *shard) remove(e *entry) {
 	mask := uint32(len(s.index) - 1)
 	i := s.home(e.hash)
-	for s.at(s.index[i]-1) != e {
+	for s.at(numberOf(s.index[i])) != e {
 		i = (i + 1) & mask
 	}
-	s.free = append(s.free, s.index[i]-1)
+	s.free = append(s.free, numberOf(s.index[i]))
 	s.used--
 	*e = entry{}
 	gap := i
 	for j := (i + 1) & mask; s.index[j] != 0; j = (j + 1) & mask {
-		home := s.home(s.at(s.index[j] - 1).hash)
+		home := s.home(s.at(numberOf(s.index[j])).hash)
 		if (j-home)&mask >= (j-gap)&mask {
 			s.index[gap] = s.index[j]
 			gap = j
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -95,7 +95,7 @@
 		self:        c.Self,
 		started:     c.Started.UnixNano(),
 		incarnation: c.Incarnation,
-		shardLimit:  (c.MaxFlows + shardCount - 1) / shardCount,
+		shardLimit:  min((c.MaxFlows+shardCount-1)/shardCount, maxShardFlows),
 		admission: admission{
 			slots:       c.Slots,
 			connections: c.Connections,
@@ -107,7 +107,9 @@
 	return o, nil
 }
 
-// HandlePacket decides on a packet and appends what is to be done to effects.
+// HandlePacket decides on a packet and appends what is to be done to effects. A
+// caller that passes a slice again gives up the effects that it held before: their
+// memory is used anew, so that a packet of an owned flow costs no allocation.
 func (o *Owner) HandlePacket(now time.Time, h *flow.Header, p *flow.Packet, effects []Effect) []Effect {
 	v := o.view.Load()
 	if v == nil || v.table.ServiceID() != h.ServiceID {
--- a/internal/core/owner/packet.go
+++ b/internal/core/owner/packet.go
@@ -63,12 +63,25 @@
 }
 
 func (c *call) deliver(e *entry, h *flow.Header, p *flow.Packet) {
-	c.emit(&Deliver{Key: p.Key, Data: p.Data, LocalPort: e.port, Return: h.ReturnAddress})
+	d := c.newDeliver()
+	*d = Deliver{Key: p.Key, Data: p.Data, LocalPort: e.port, Return: h.ReturnAddress}
+	c.emit(d)
 	if h.Passes > 0 && h.ReturnAddress.IsValid() {
 		c.emit(&Hint{To: h.ReturnAddress, Key: p.Key})
 	}
 }
 
+// newDeliver returns the Deliver that the slice of effects held in its next place,
+// or a new one.
+func (c *call) newDeliver() *Deliver {
+	if n := len(c.effects); n < cap(c.effects) {
+		if d, ok := c.effects[:n+1][n].(*Deliver); ok {
+			return d
+		}
+	}
+	return &Deliver{}
+}
+
 // touch moves the end of a flow after one of its packets.
 func (c *call) touch(e *entry, p *flow.Packet) {
 	if e.has(flagReset) {
@@ -170,7 +183,7 @@
 		}
 		// The packet came back to a host that stands on its path twice: the claim
 		// leads to a version that the packet has passed.
-		return e.tokens[0] != token || e.role >= c.roleOf(h)
+		return e.tokens[0] != token || uint64(e.role) >= c.roleOf(h)
 	}
 }
 
@@ -197,7 +210,7 @@
 		out.OfferLoad = c.owner.admission.load()
 		c.pathSelf(&out)
 	case flow.StageSearch:
-		c.aim(&out, host, e.role)
+		c.aim(&out, host, uint64(e.role))
 	}
 	c.pass(&out, p, host)
 }
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -111,7 +111,7 @@
 // claim records that another host decides on a flow.
 func (c *call) claim(e *entry, host netip.AddrPort, stage flow.Stage, role uint64) {
 	e.state, e.flags, e.port = stateClaim, 0, 0
-	e.host, e.stage, e.role = c.owner.hosts.number(host), stage, role
+	e.host, e.stage, e.role = c.owner.hosts.number(host), stage, uint32(role)
 	e.expires = nanoseconds(c.now, claimLife)
 }
 
