--- a/internal/core/owner/packet.go
+++ b/internal/core/owner/packet.go
@@ -16,8 +16,13 @@
 		c.unknown(s, h, p)
 		return
 	}
+	if c.owner.recovering.Load() && c.view.first(p) {
+		// The entry may be of an earlier flow on the key than peers still report.
+		c.park(h, p)
+		return
+	}
 	over := e.state == stateEnded || e.state == stateOwned && e.has(flagFinished)
-	if h.Hinted && over && !c.view.first(p) && c.unhint(h, p) {
+	if h.Hinted && over && !c.view.first(p) && c.unhint(h, p, false) {
 		return
 	}
 	switch e.state {
@@ -58,12 +63,25 @@
 }
 
 func (c *call) deliver(e *entry, h *flow.Header, p *flow.Packet) {
-	c.emit(&Deliver{Key: p.Key, Data: p.Data, LocalPort: e.port, Return: h.ReturnAddress})
+	d := c.newDeliver()
+	*d = Deliver{Key: p.Key, Data: p.Data, LocalPort: e.port, Return: h.ReturnAddress}
+	c.emit(d)
 	if h.Passes > 0 && h.ReturnAddress.IsValid() {
 		c.emit(&Hint{To: h.ReturnAddress, Key: p.Key})
 	}
 }
 
+// newDeliver returns the Deliver that the slice of effects held in its next place,
+// or a new one.
+func (c *call) newDeliver() *Deliver {
+	if n := len(c.effects); n < cap(c.effects) {
+		if d, ok := c.effects[:n+1][n].(*Deliver); ok {
+			return d
+		}
+	}
+	return &Deliver{}
+}
+
 // touch moves the end of a flow after one of its packets.
 func (c *call) touch(e *entry, p *flow.Packet) {
 	if e.has(flagReset) {
@@ -135,7 +153,7 @@
 			c.ownerLost(host, h, p)
 			return
 		}
-		c.lookUp(h, p)
+		c.lookUp(s, h, p)
 		return
 	}
 	out := *h
@@ -165,7 +183,7 @@
 		}
 		// The packet came back to a host that stands on its path twice: the claim
 		// leads to a version that the packet has passed.
-		return e.tokens[0] != token || e.role >= c.roleOf(h)
+		return e.tokens[0] != token || uint64(e.role) >= c.roleOf(h)
 	}
 }
 
@@ -192,7 +210,7 @@
 		out.OfferLoad = c.owner.admission.load()
 		c.pathSelf(&out)
 	case flow.StageSearch:
-		c.aim(&out, host, e.role)
+		c.aim(&out, host, uint64(e.role))
 	}
 	c.pass(&out, p, host)
 }
@@ -225,8 +243,9 @@
 
 // unhint sends a packet that a hint led here to its path. It reports false when
 // the path begins here. The hint may be of an earlier flow on the key, so an agent
-// whose flow is over must not take the packet for part of it.
-func (c *call) unhint(h *flow.Header, p *flow.Packet) bool {
+// whose flow is over must not take the packet for part of it, nor avoid a first
+// choice that may only be unreachable from here.
+func (c *call) unhint(h *flow.Header, p *flow.Packet, avoid bool) bool {
 	out := *h
 	out.Hinted = false
 	c.refresh(&out, p.Hash)
@@ -234,7 +253,11 @@
 		c.drop(flow.ReasonNoHosts)
 		return true
 	}
-	to := c.start(&out)
+	out.Hop = 0
+	to := out.Path[0].Address
+	if avoid {
+		to = c.start(&out)
+	}
 	if to == c.owner.self {
 		return false
 	}
@@ -245,14 +268,12 @@
 // unknown decides on a packet of a flow that the map does not hold.
 func (c *call) unknown(s *shard, h *flow.Header, p *flow.Packet) {
 	first := c.view.first(p)
-	if h.Hinted && c.unhint(h, p) {
+	if h.Hinted && c.unhint(h, p, true) {
 		return
 	}
 	switch {
 	case first && c.owner.recovering.Load():
-		if !c.owner.admission.park(keep(h, p, 0, 0)) {
-			c.drop(flow.ReasonTableFull)
-		}
+		c.park(h, p)
 	case first:
 		c.first(s, nil, h, p, tokenOf(p))
 	case h.Asserted:
@@ -262,6 +283,13 @@
 	}
 }
 
+// park keeps a first packet until the end of recovery.
+func (c *call) park(h *flow.Header, p *flow.Packet) {
+	if !c.owner.admission.park(keep(h, p, 0, 0)) {
+		c.drop(flow.ReasonTableFull)
+	}
+}
+
 // adopt takes over a flow that a directory entry says is of this agent.
 func (c *call) adopt(s *shard, h *flow.Header, p *flow.Packet) {
 	if !c.room(s) {
