weights: Check the bounds on imbalance and waits

Runs of the real table, router, owner and learner in virtual time, against hashing by correct weights on the same flows. The learner gets a budget of table versions, since in services with many hosts it moved buckets back and forth: trial with 60 hosts, 33 versions in 180 s before.

--- /dev/null
+++ b/internal/core/weights/imbalance_test.go
@@ -0,0 +1,156 @@
+package weights
+
+import (
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+)
+
+// testSpeeds are those of the 7 hosts of studio and orderdesk, 8 to 1.
+var testSpeeds = []float64{8, 1, 4, 2, 6, 1, 3}
+
+func testModel(seed uint64, placing placing) *model {
+	return newModel(modelConfig{
+		seed: seed, placing: placing, rules: defaultRules(), speeds: testSpeeds,
+		work: 50 * time.Millisecond, load: 0.7, wrong: 2,
+	})
+}
+
+func seeds() (seeds []uint64) {
+	n := uint64(3)
+	if os.Getenv("AGATERAMP_LONG") == "1" {
+		n = 12
+	}
+	for seed := range n {
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
+// pair is a run with learned weights and one with hashing on the same flows.
+type pair struct {
+	seed             uint64
+	learned, hashing *model
+	// versions and moved count from 120 s on.
+	versions, moved int
+}
+
+// learnedRuns measures from 120 to 300 s; the bound gives 2 minutes to learn.
+var learnedRuns = sync.OnceValue(func() (pairs []pair) {
+	for _, seed := range seeds() {
+		p := pair{seed: seed, learned: testModel(seed, learnedChoices), hashing: testModel(seed, hashing)}
+		for _, m := range []*model{p.learned, p.hashing} {
+			m.runUntil(120 * time.Second)
+			m.reset()
+		}
+		p.versions, p.moved = -p.learned.published, -p.learned.moved
+		p.learned.runUntil(300 * time.Second)
+		p.hashing.runUntil(300 * time.Second)
+		p.versions, p.moved = p.versions+p.learned.published, p.moved+p.learned.moved
+		pairs = append(pairs, p)
+	}
+	return pairs
+})
+
+// Guards against wrong announced weights that last, against learning that keeps
+// moving buckets, and against hosts with more work than slots (bound 3 of the
+// design).
+func TestImbalanceOnceLearned(t *testing.T) {
+	is := is.New(t)
+	for _, p := range learnedRuns() {
+		m := p.learned
+		t.Logf("seed %d: imbalance %.3f (hashing by correct weights %.3f); after 2 minutes %d versions moved %d buckets",
+			p.seed, m.imbalance(), p.hashing.imbalance(), p.versions, p.moved)
+		is.True(m.imbalance() <= 1.05)
+		is.True(p.versions <= 15)
+		is.True(p.moved <= 64)
+		is.Equal(m.refused, 0)
+		for _, h := range m.hosts {
+			is.True(h.maxBusy <= slots)
+		}
+	}
+}
+
+// Guards against waits that two choices should avoid (bound 3 of the design).
+func TestWaitAgainstHashing(t *testing.T) {
+	is := is.New(t)
+	for _, p := range learnedRuns() {
+		learned, hashing := p.learned.wait(0.99), p.hashing.wait(0.99)
+		ratio := float64(learned) / float64(hashing)
+		t.Logf("seed %d: p99 wait %v, hashing by correct weights %v, ratio %.3f", p.seed, learned, hashing, ratio)
+		is.True(ratio <= 0.3)
+	}
+}
+
+// Guards against a cold host that is flooded or that never gets its share.
+func TestColdHostJoins(t *testing.T) {
+	is := is.New(t)
+	for _, seed := range seeds()[:2] {
+		m := testModel(seed, learnedChoices)
+		m.runUntil(90 * time.Second)
+		h := m.addHost(4)
+		h.speed /= 5 // until its caches are warm
+		m.after(20*time.Second, func() { h.speed *= 5 })
+		m.config.speeds = append(testSpeeds[:7:7], 4)
+		m.join(h)
+		m.reset()
+		m.runUntil(100 * time.Second)
+		is.True(h.started < len(m.waits)/20) // a tenth of its share of 4/29, and offers
+		m.runUntil(210 * time.Second)
+		m.reset()
+		m.runUntil(330 * time.Second)
+		t.Logf("seed %d: imbalance %.3f, p99 wait %v", seed, m.imbalance(), m.wait(0.99))
+		is.True(m.imbalance() <= 1.05)
+		is.True(h.maxBusy <= slots)
+	}
+}
+
+// Guards against a host that silently becomes 10 times slower and keeps its flows
+// waiting.
+func TestHostTurnsSlow(t *testing.T) {
+	is := is.New(t)
+	for _, seed := range seeds()[:2] {
+		var waits [2]time.Duration
+		for i, placing := range []placing{learnedChoices, hashing} {
+			m := testModel(seed, placing)
+			m.runUntil(90 * time.Second)
+			h := m.hosts[2]
+			weight := m.newestWeight(h)
+			m.reset()
+			h.speed /= 10
+			m.runUntil(95 * time.Second)
+			if placing == learnedChoices {
+				t.Logf("seed %d: after 5 s weight %d of %d, %d queued", seed, m.newestWeight(h), weight, h.owner.Load(m.time()).GetQueued())
+				is.True(m.newestWeight(h) <= weight/2)
+				is.True(h.owner.Load(m.time()).GetQueued() <= 2*slots)
+			}
+			m.reset()
+			m.runUntil(125 * time.Second)
+			is.True(h.maxBusy <= slots)
+			waits[i] = m.wait(0.99)
+		}
+		t.Logf("seed %d: p99 wait from 5 to 35 s %v, hashing %v", seed, waits[0], waits[1])
+		is.True(float64(waits[0]) <= 0.3*float64(waits[1]))
+	}
+}
+
+// Guards against learning that costs control bytes for nothing. It runs for 40
+// minutes of virtual time.
+func TestLearningStaysQuiet(t *testing.T) {
+	if os.Getenv("AGATERAMP_LONG") != "1" {
+		t.Skip("AGATERAMP_LONG is not 1")
+	}
+	is := is.New(t)
+	m := testModel(1, learnedChoices)
+	m.runUntil(10 * time.Minute)
+	versions, moved := m.published, m.moved
+	m.runUntil(40 * time.Minute)
+	versions, moved = m.published-versions, m.moved-moved
+	perHost := float64(proto.Size(m.spec())) / float64(len(m.hosts))
+	t.Logf("30 minutes: %d versions moved %d buckets; %.0f bytes a host", versions, moved, perHost)
+	is.True(versions <= 3)
+}
--- a/internal/core/weights/learn.go
+++ b/internal/core/weights/learn.go
@@ -33,6 +33,12 @@
 	saturated, calm, runs float64
 	// recent is how long a host counts as cut.
 	recent time.Duration
+	// burst is the number of table versions that learning may cause at once, and
+	// perVersion the time that gives it one more. In services with many hosts a
+	// bucket is a large part of a host's load, and without a limit weights would
+	// move buckets back and forth.
+	burst      float64
+	perVersion time.Duration
 }
 
 func defaultRules() rules {
@@ -53,6 +59,9 @@
 		calm:      0.9,
 		runs:      3,
 		recent:    15 * time.Second,
+
+		burst:      40,
+		perVersion: 20 * time.Minute,
 	}
 }
 
--- a/internal/core/weights/weights.go
+++ b/internal/core/weights/weights.go
@@ -39,6 +39,10 @@
 	nextStep time.Time
 	// level is the mean busy share of the warm hosts.
 	level average
+	// budget is the number of table versions that learning may still cause, as of
+	// budgetAt.
+	budget   float64
+	budgetAt time.Time
 }
 
 // host is the state of one host.
@@ -69,7 +73,7 @@
 func New() *Learner { return newLearner(defaultRules()) }
 
 func newLearner(r rules) *Learner {
-	return &Learner{rules: r, hosts: make(map[string]*host)}
+	return &Learner{rules: r, hosts: make(map[string]*host), budget: r.burst}
 }
 
 // SetMembers replaces the hosts of the service. It returns true when a table
@@ -144,10 +148,11 @@
 }
 
 // Step learns from the heartbeats and returns the effective weight of each host
-// by name. When publish is set, a weight left the dead band, and a table version
-// with these weights should be published. Weights within the dead band keep
-// their published value, so that their buckets stay where they are.
+// in the order of their names. When publish is set, a weight left the dead band,
+// and a table version with these weights should be published. Weights within the
+// dead band keep their published value, so that their buckets stay where they are.
 func (l *Learner) Step(now time.Time) (weights []Weight, publish bool) {
+	l.refill(now)
 	l.sample(now)
 	l.cutOutliers(now)
 	if !now.Before(l.nextStep) {
@@ -160,26 +165,48 @@
 		if h.published > 0 && math.Abs(effective/h.published-1) <= l.rules.band {
 			effective = h.published
 		}
-		publish = publish || effective != h.published
+		if effective != h.published && (l.budget >= 1 || h.urgent(now, l.rules)) {
+			publish = true
+		}
 		weights = append(weights, Weight{Host: name, Weight: toThousandths(effective)})
 	}
 	slices.SortFunc(weights, func(a, b Weight) int { return strings.Compare(a.Host, b.Host) })
 	return weights, publish
 }
 
+// refill adds to the budget what the time since the last call allows.
+func (l *Learner) refill(now time.Time) {
+	if !l.budgetAt.IsZero() {
+		l.budget = min(l.rules.burst, l.budget+float64(now.Sub(l.budgetAt))/float64(l.rules.perVersion))
+	}
+	l.budgetAt = now
+}
+
+// urgent reports whether the weight of a host changes for another reason than
+// learning.
+func (h *host) urgent(now time.Time, r rules) bool {
+	return h.published == 0 || h.member.Weight == 0 || now.Before(h.warmAt.Add(r.rampStep)) || now.Sub(h.cutAt) < r.recent
+}
+
 // Published says that a table version with these weights is in the store.
 func (l *Learner) Published(now time.Time, weights []Weight) {
+	learned, urgent := false, false
 	for _, w := range weights {
 		h := l.hosts[w.Host]
 		if h == nil || toThousandths(h.published) == w.Weight {
 			continue
 		}
+		learned = true
+		urgent = urgent || h.urgent(now, l.rules)
 		h.published = float64(w.Weight)
 		if !now.Before(h.warmAt) {
 			h.learned = h.published
 		}
 		h.settle(now, l.rules)
 	}
+	if learned && !urgent {
+		l.budget = max(0, l.budget-1)
+	}
 }
 
 // effective returns the weight of a host with regard to its slow start. The ramp
