--- a/internal/core/owner/packet.go
+++ b/internal/core/owner/packet.go
@@ -16,6 +16,15 @@
 		c.unknown(s, h, p)
 		return
 	}
+	if c.owner.recovering.Load() && c.view.first(p) {
+		// The entry may be of an earlier flow on the key than peers still report.
+		c.park(h, p)
+		return
+	}
+	over := e.state == stateEnded || e.state == stateOwned && e.has(flagFinished)
+	if h.Hinted && over && !c.view.first(p) && c.unhint(h, p, false) {
+		return
+	}
 	switch e.state {
 	case stateOwned:
 		c.owned(s, e, h, p)
@@ -219,28 +228,39 @@
 	c.emit(&Reset{Key: p.Key, Reason: flow.ReasonOwnerLost, Return: h.ReturnAddress, Data: p.Data})
 }
 
+// unhint sends a packet that a hint led here to its path. It reports false when
+// the path begins here. The hint may be of an earlier flow on the key, so an agent
+// whose flow is over must not take the packet for part of it, nor avoid a first
+// choice that may only be unreachable from here.
+func (c *call) unhint(h *flow.Header, p *flow.Packet, avoid bool) bool {
+	out := *h
+	out.Hinted = false
+	c.refresh(&out, p.Hash)
+	if out.PathLen == 0 {
+		c.drop(flow.ReasonNoHosts)
+		return true
+	}
+	out.Hop = 0
+	to := out.Path[0].Address
+	if avoid {
+		to = c.start(&out)
+	}
+	if to == c.owner.self {
+		return false
+	}
+	c.pass(&out, p, to)
+	return true
+}
+
 // unknown decides on a packet of a flow that the map does not hold.
 func (c *call) unknown(s *shard, h *flow.Header, p *flow.Packet) {
 	first := c.view.first(p)
-	if h.Hinted {
-		out := *h
-		out.Hinted = false
-		c.refresh(&out, p.Hash)
-		if out.PathLen == 0 {
-			c.drop(flow.ReasonNoHosts)
-			return
-		}
-		if to := c.start(&out); to != c.owner.self {
-			c.pass(&out, p, to)
-			return
-		}
-		h = &out
+	if h.Hinted && c.unhint(h, p, true) {
+		return
 	}
 	switch {
 	case first && c.owner.recovering.Load():
-		if !c.owner.admission.park(keep(h, p, 0, 0)) {
-			c.drop(flow.ReasonTableFull)
-		}
+		c.park(h, p)
 	case first:
 		c.first(s, nil, h, p, tokenOf(p))
 	case h.Asserted:
@@ -250,6 +270,13 @@
 	}
 }
 
+// park keeps a first packet until the end of recovery.
+func (c *call) park(h *flow.Header, p *flow.Packet) {
+	if !c.owner.admission.park(keep(h, p, 0, 0)) {
+		c.drop(flow.ReasonTableFull)
+	}
+}
+
 // adopt takes over a flow that a directory entry says is of this agent.
 func (c *call) adopt(s *shard, h *flow.Header, p *flow.Packet) {
 	if !c.room(s) {
