--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -24,10 +24,12 @@
 type cli struct {
 	Balancer balancerCommand `cmd:"" help:"Run a balancer."`
 	Agent    agentCommand    `cmd:"" help:"Run the agent beside a backend server."`
-	Dev      devCommand      `cmd:"" help:"Run the whole system on loopback, for a first look."`
+	Config   configCommand   `cmd:"" help:"Check, apply and inspect the configuration."`
 	Status   statusCommand   `cmd:"" help:"Print what processes say of themselves."`
 	Drain    drainCommand    `cmd:"" help:"Have a host take no new flows, or take them again."`
+	Audit    auditCommand    `cmd:"" help:"Print and verify the audit trail."`
 	Load     loadCommand     `cmd:"" help:"Send flows to a running system and print what was seen."`
+	Dev      devCommand      `cmd:"" help:"Run the whole system on loopback, for a first look."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
--- a/internal/cli/commands/dev.go
+++ b/internal/cli/commands/dev.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -15,7 +14,6 @@
 
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
-	"agateramp/internal/standin/etcdserver"
 	"agateramp/internal/standin/system"
 )
 
@@ -100,16 +98,7 @@
 }
 
 func (c *devCommand) serveStore(env *environment, tasks *group.Group) (err error) {
-	server, err := etcdserver.New(etcdserver.Config{})
-	if err != nil {
-		return err
-	}
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return errors.WithMessage(errUsage, err.Error())
-	}
-	fmt.Fprintf(env.stdout, "store at %s, faults at http://%s/faults\n", listener.Addr(), listener.Addr())
-	tasks.Go("store", func(ctx context.Context) error { return server.Serve(ctx, listener) })
+	tasks.Go("store", func(ctx context.Context) error { return runDevStore(ctx, env, c.Listen) })
 	waitSignal(tasks, notify(syscall.SIGTERM, syscall.SIGINT))
 	tasks.Stop()
 	return tasks.Wait()
