--- a/internal/platform/shard/elect.go
+++ b/internal/platform/shard/elect.go
@@ -146,7 +146,7 @@
 
 // take acquires a shard and reads what its holder starts from. An attempt whose
 // answer was lost may have succeeded, so the key decides. Once the key is known
-// to belong to this process, reading is repeated until it succeeds: the lease is
+// to belong to this process, reads are repeated until they succeed: the lease is
 // kept alive for other shards, so the key would stay and nobody serve it.
 func (r *Runner) take(ctx context.Context, shard int) (c HolderConfig, err error) {
 	defer func() { err = errors.WithMessagef(err, "take shard %d", shard) }()
@@ -168,43 +168,45 @@
 		r.lease.forget(id)
 		return c, err
 	}
-	for wait := minRetry; ; wait = min(2*wait, maxRetry) {
-		var mine bool
-		if mine, err = r.read(ctx, id, &c); err == nil && mine {
-			return c, nil
-		}
-		if err == nil {
-			return c, errors.New("it is not held under the lease of this process")
-		}
-		if !pause(ctx, wait) {
-			return c, err
-		}
-	}
+	return c, r.read(ctx, id, &c)
 }
 
-// read reads what a new holder starts from, provided that the shard is held
-// under the given lease.
-func (r *Runner) read(ctx context.Context, id store.LeaseID, c *HolderConfig) (mine bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	e, _, err := r.config.Store.Get(ctx, HolderKey(c.Shard))
-	if err != nil || e == nil || e.Lease != id {
-		return false, err
-	}
-	c.Fence = e.CreateRevision
-	if c.Stored, err = listTables(ctx, r.config.Store); err != nil {
-		return false, err
-	}
-	manifest, _, err := r.config.Store.Get(ctx, ConfigKey)
-	if err != nil {
-		return false, err
-	}
-	if manifest != nil {
-		c.MinSettings = manifest.ModRevision
+// read reads what a new holder starts from. It returns errFenced when the shard
+// is not held under the given lease.
+func (r *Runner) read(ctx context.Context, id store.LeaseID, c *HolderConfig) (err error) {
+	for _, call := range []func(ctx context.Context) error{
+		func(ctx context.Context) error {
+			e, _, err := r.config.Store.Get(ctx, HolderKey(c.Shard))
+			if err == nil && (e == nil || e.Lease != id) {
+				return errFenced
+			}
+			if err == nil {
+				c.Fence = e.CreateRevision
+			}
+			return err
+		},
+		func(ctx context.Context) (err error) {
+			c.Stored, err = listTables(ctx, r.config.Store)
+			return err
+		},
+		func(ctx context.Context) error {
+			manifest, _, err := r.config.Store.Get(ctx, ConfigKey)
+			if err == nil && manifest != nil {
+				c.MinSettings = manifest.ModRevision
+			}
+			return err
+		},
+		func(ctx context.Context) error {
+			entries, _, err := r.config.Store.List(ctx, BalancerPrefix)
+			c.Balancers = balancerNames(entries)
+			return err
+		},
+	} {
+		if err = retry(ctx, call); err != nil {
+			return err
+		}
 	}
-	entries, _, err := r.config.Store.List(ctx, BalancerPrefix)
-	c.Balancers = balancerNames(entries)
-	return err == nil, err
+	return nil
 }
 
 func (r *Runner) taken(now time.Time, c HolderConfig) {
--- a/internal/platform/shard/writer.go
+++ b/internal/platform/shard/writer.go
@@ -16,7 +16,7 @@
 	callTimeout = 4 * time.Second
 	// minRetry and maxRetry bound the wait between calls to a store that fails.
 	minRetry = 100 * time.Millisecond
-	maxRetry = 5 * time.Second
+	maxRetry = 2 * time.Second
 )
 
 // transaction returns the conditions and writes of a publication. Each write is
@@ -59,29 +59,42 @@
 	if err == nil && result.Succeeded {
 		return Published{Revision: result.Revision}, nil
 	}
-	for wait := minRetry; ; wait = min(2*wait, maxRetry) {
-		stored, err := reread(ctx, s, shard, fence)
-		if err == nil {
-			return Reread{Stored: stored}, nil
-		}
-		if errors.Is(err, errFenced) || !pause(ctx, wait) {
-			return nil, err
-		}
+	stored, err := reread(ctx, s, shard, fence)
+	if err != nil {
+		return nil, err
 	}
+	return Reread{Stored: stored}, nil
 }
 
 // reread lists the stored specs, provided that the lease key is still that of the fence.
 func reread(ctx context.Context, s store.Store, shard int, fence int64) (stored []StoredSpec, err error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	key, _, err := s.Get(call, HolderKey(shard))
+	err = retry(ctx, func(ctx context.Context) error {
+		key, _, err := s.Get(ctx, HolderKey(shard))
+		if err == nil && (key == nil || key.CreateRevision != fence) {
+			return errFenced
+		}
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-	if key == nil || key.CreateRevision != fence {
-		return nil, errFenced
+	err = retry(ctx, func(ctx context.Context) (err error) {
+		stored, err = listTables(ctx, s)
+		return err
+	})
+	return stored, err
+}
+
+// retry repeats a call until the store answers it.
+func retry(ctx context.Context, call func(ctx context.Context) error) error {
+	for wait := minRetry; ; wait = min(2*wait, maxRetry) {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		err := call(limited)
+		cancel()
+		if err == nil || errors.Is(err, errFenced) || !pause(ctx, wait) {
+			return err
+		}
 	}
-	return listTables(call, s)
 }
 
 func listTables(ctx context.Context, s store.Store) (stored []StoredSpec, err error) {
