--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -38,6 +38,9 @@
 	MaxConnections int
 	// History records the runs. Empty means that only the server does.
 	History *history.History
+	// Observe takes each run when it starts and when it ends, one call at a time.
+	// Empty means that nobody does.
+	Observe func(history.Run)
 	// Group runs the requests. It must be set.
 	Group *group.Group
 }
@@ -259,6 +262,9 @@
 	if s.cfg.History != nil {
 		s.cfg.History.Ran(run)
 	}
+	if s.cfg.Observe != nil {
+		s.cfg.Observe(run)
+	}
 	return run
 }
 
@@ -325,6 +331,9 @@
 	r.answer = encoded
 	reply := r.reply
 	s.runs[run.Number-1] = *run
+	if s.cfg.Observe != nil {
+		s.cfg.Observe(*run)
+	}
 	s.mu.Unlock()
 	if s.cfg.History != nil {
 		s.cfg.History.Ran(*run)
