agent: Take frames only once both streams are set

Cause: the streams of an agent may bring a table spec or a report before New has stored the services that answer them. Change: the handlers wait until New has set both.

--- a/internal/role/agent/role.go
+++ b/internal/role/agent/role.go
@@ -56,6 +56,10 @@
 	certs       *certificates.Certificates
 	spec        atomic.Pointer[controlpb.TableSpec]
 	draining    atomic.Bool
+	// connected is closed once balancers and directory are set; their streams may
+	// bring frames before that.
+	connected chan struct{}
+	stopped   <-chan struct{}
 }
 
 var (
@@ -69,7 +73,11 @@
 type balancerHandler struct{ agent *Agent }
 
 // Spec implements balancers.Handler.
-func (h balancerHandler) Spec(spec *controlpb.TableSpec) { h.agent.update(spec) }
+func (h balancerHandler) Spec(spec *controlpb.TableSpec) {
+	if h.agent.awaitConnected() {
+		h.agent.update(spec)
+	}
+}
 
 // Drain implements balancers.Handler.
 func (h balancerHandler) Drain(drain bool, changeID string) { h.agent.orderDrain(drain, changeID) }
@@ -77,7 +85,10 @@
 // New starts an agent. It ends with the group.
 func New(c Config) (a *Agent, err error) {
 	defer func() { err = errors.WithMessage(err, "start agent") }()
-	a = &Agent{settings: c.Settings, logger: c.Logger, incarnation: uint64(time.Now().UnixNano())}
+	a = &Agent{
+		settings: c.Settings, logger: c.Logger, incarnation: uint64(time.Now().UnixNano()),
+		connected: make(chan struct{}), stopped: c.Group.Context().Done(),
+	}
 	server, client, err := a.tls()
 	if err != nil {
 		return nil, err
@@ -91,6 +102,7 @@
 	if err = a.connect(c, server, client); err != nil {
 		return nil, err
 	}
+	close(a.connected)
 	a.dispatcher.start(c.Group)
 	return a, a.serveAdmin(c, server)
 }
@@ -169,7 +181,22 @@
 }
 
 // HandleEvent implements directory.Handler.
-func (a *Agent) HandleEvent(event owner.Event) { a.dispatcher.event(event) }
+func (a *Agent) HandleEvent(event owner.Event) {
+	if a.awaitConnected() {
+		a.dispatcher.event(event)
+	}
+}
+
+// awaitConnected returns once New has set both services, or false if the agent
+// was stopped before.
+func (a *Agent) awaitConnected() bool {
+	select {
+	case <-a.connected:
+		return true
+	case <-a.stopped:
+		return false
+	}
+}
 
 // report implements peers.
 func (a *Agent) report(effect owner.Effect) {
