--- a/internal/role/agent/role.go
+++ b/internal/role/agent/role.go
@@ -249,15 +249,23 @@
 	a.balancers.SetDraining(true)
 	deadline := time.Now().Add(a.drainTime())
 	a.wait(ctx, deadline, func() bool { return a.load().GetOpenFlows() == 0 })
-	a.HandOver(ctx)
+	a.handOver(ctx, deadline)
 	a.balancers.Leave()
 }
 
 // HandOver prepares a restart of the agent beside a running backend server: it
-// takes no new flows and returns when its peers know every open one.
-func (a *Agent) HandOver(ctx context.Context) {
+// takes no new flows and returns when the first requests in progress are answered
+// and the peers know every open flow.
+func (a *Agent) HandOver(ctx context.Context) { a.handOver(ctx, time.Now().Add(a.drainTime())) }
+
+func (a *Agent) handOver(ctx context.Context, deadline time.Time) {
 	a.log("handing_over")
 	a.dispatcher.event(owner.Stopping{})
+	if a.settings.Backend.Mode == settings.ModeDatagram {
+		// An answer that comes while no agent runs is lost, and the first packet of
+		// a flow that must not run twice is never delivered again.
+		a.wait(ctx, deadline, func() bool { return a.load().GetBusy() == 0 })
+	}
 	a.wait(ctx, time.Now().Add(handOverTime), a.dispatcher.owner.Flushed)
 }
 
