--- a/internal/role/agent/role.go
+++ b/internal/role/agent/role.go
@@ -56,6 +56,10 @@
 	certs       *certificates.Certificates
 	spec        atomic.Pointer[controlpb.TableSpec]
 	draining    atomic.Bool
+	// connected is closed once balancers and directory are set; their streams may
+	// bring frames before that.
+	connected chan struct{}
+	stopped   <-chan struct{}
 }
 
 var (
@@ -69,7 +73,11 @@
 type balancerHandler struct{ agent *Agent }
 
 // Spec implements balancers.Handler.
-func (h balancerHandler) Spec(spec *controlpb.TableSpec) { h.agent.update(spec) }
+func (h balancerHandler) Spec(spec *controlpb.TableSpec) {
+	if h.agent.awaitConnected() {
+		h.agent.update(spec)
+	}
+}
 
 // Drain implements balancers.Handler.
 func (h balancerHandler) Drain(drain bool, changeID string) { h.agent.orderDrain(drain, changeID) }
@@ -77,7 +85,10 @@
 // New starts an agent. It ends with the group.
 func New(c Config) (a *Agent, err error) {
 	defer func() { err = errors.WithMessage(err, "start agent") }()
-	a = &Agent{settings: c.Settings, logger: c.Logger, incarnation: uint64(time.Now().UnixNano())}
+	a = &Agent{
+		settings: c.Settings, logger: c.Logger, incarnation: uint64(time.Now().UnixNano()),
+		connected: make(chan struct{}), stopped: c.Group.Context().Done(),
+	}
 	server, client, err := a.tls()
 	if err != nil {
 		return nil, err
@@ -91,6 +102,7 @@
 	if err = a.connect(c, server, client); err != nil {
 		return nil, err
 	}
+	close(a.connected)
 	a.dispatcher.start(c.Group)
 	return a, a.serveAdmin(c, server)
 }
@@ -169,7 +181,22 @@
 }
 
 // HandleEvent implements directory.Handler.
-func (a *Agent) HandleEvent(event owner.Event) { a.dispatcher.event(event) }
+func (a *Agent) HandleEvent(event owner.Event) {
+	if a.awaitConnected() {
+		a.dispatcher.event(event)
+	}
+}
+
+// awaitConnected returns once New has set both services, or false if the agent
+// was stopped before.
+func (a *Agent) awaitConnected() bool {
+	select {
+	case <-a.connected:
+		return true
+	case <-a.stopped:
+		return false
+	}
+}
 
 // report implements peers.
 func (a *Agent) report(effect owner.Effect) {
@@ -222,15 +249,23 @@
 	a.balancers.SetDraining(true)
 	deadline := time.Now().Add(a.drainTime())
 	a.wait(ctx, deadline, func() bool { return a.load().GetOpenFlows() == 0 })
-	a.HandOver(ctx)
+	a.handOver(ctx, deadline)
 	a.balancers.Leave()
 }
 
 // HandOver prepares a restart of the agent beside a running backend server: it
-// takes no new flows and returns when its peers know every open one.
-func (a *Agent) HandOver(ctx context.Context) {
+// takes no new flows and returns when the first requests in progress are answered
+// and the peers know every open flow.
+func (a *Agent) HandOver(ctx context.Context) { a.handOver(ctx, time.Now().Add(a.drainTime())) }
+
+func (a *Agent) handOver(ctx context.Context, deadline time.Time) {
 	a.log("handing_over")
 	a.dispatcher.event(owner.Stopping{})
+	if a.settings.Backend.Mode == settings.ModeDatagram {
+		// An answer that comes while no agent runs is lost, and the first packet of
+		// a flow that must not run twice is never delivered again.
+		a.wait(ctx, deadline, func() bool { return a.load().GetBusy() == 0 })
+	}
 	a.wait(ctx, time.Now().Add(handOverTime), a.dispatcher.owner.Flushed)
 }
 
