--- a/internal/cli/commands/config_apply.go
+++ b/internal/cli/commands/config_apply.go
@@ -21,13 +21,9 @@
 	reported time.Time
 }
 
-// versionReporter lists the live balancers with the versions in force there. It
-// is nil while no such reporter is linked.
+// versionReporter lists the live balancers with the versions in force there.
 type versionReporter func(ctx context.Context, s store.Store) ([]balancerVersion, error)
 
-// reportVersions is set by the file that links the admin API.
-var reportVersions versionReporter
-
 // waitInterval is how often --wait asks for the versions in force.
 const waitInterval = 250 * time.Millisecond
 
@@ -41,9 +37,6 @@
 
 // Run applies the folder.
 func (c *configApplyCommand) Run(env *environment) (err error) {
-	if c.Wait && reportVersions == nil {
-		return usage(errors.New("--wait: this build has no reporter of the versions in force"))
-	}
 	source, err := c.read(env)
 	if err != nil {
 		return err
@@ -62,7 +55,7 @@
 	if err = applied(env.stdout, result, err); err != nil || !c.Wait {
 		return err
 	}
-	if err = waitInForce(ctx, s, result.Version, reportVersions); err != nil {
+	if err = waitInForce(ctx, s, result.Version, storedVersions); err != nil {
 		return err
 	}
 	_, err = fmt.Fprintf(env.stdout, "version %d is in force on every live balancer\n", result.Version)
--- a/internal/cli/commands/config_diff.go
+++ b/internal/cli/commands/config_diff.go
@@ -1,14 +1,12 @@
 package commands
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 
 	"agateramp/internal/operator/audit"
 	"agateramp/internal/operator/config"
-	"agateramp/internal/platform/store"
 )
 
 // movement says what an apply would move for one service.
@@ -20,13 +18,6 @@
 	hosts []string
 }
 
-// movementReporter computes movements from the published table specs and the
-// new configuration. It is nil while no such reporter is linked.
-type movementReporter func(ctx context.Context, s store.Store, before *config.Snapshot, after *config.Document) ([]movement, error)
-
-// reportMovements is set by the file that links the table package.
-var reportMovements movementReporter
-
 type configDiffCommand struct {
 	folderFlag `embed:""`
 	storeFlags `embed:""`
@@ -57,11 +48,7 @@
 	if err = printDiff(env.stdout, changes, source.Origins()); err != nil {
 		return err
 	}
-	if reportMovements == nil {
-		_, err = fmt.Fprintln(env.stdout, "moved buckets and hosts: not available")
-		return err
-	}
-	moves, err := reportMovements(ctx, s, current, source.Document())
+	moves, err := movements(ctx, s, source.Document())
 	if err != nil {
 		return err
 	}
--- a/internal/cli/commands/config_test.go
+++ b/internal/cli/commands/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"os"
@@ -13,6 +14,8 @@
 
 	"github.com/matryer/is"
 
+	"agateramp/internal/platform/etcd"
+	"agateramp/internal/platform/shard"
 	"agateramp/internal/platform/store"
 	"agateramp/internal/process/group"
 	"agateramp/internal/standin/etcdserver"
@@ -40,6 +43,24 @@
 	return strings.TrimSpace(strings.TrimPrefix(string(line[:n]), "store stand-in on "))
 }
 
+// register writes the key of a balancer that reports a version in force.
+func register(t *testing.T, address string, record shard.BalancerRecord) {
+	t.Helper()
+	client, err := etcd.New(etcd.Config{Endpoints: []string{address}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	value, err := json.Marshal(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := store.Write{Key: shard.BalancerKey(record.Name), Value: value}
+	if _, err = client.Txn(context.Background(), nil, []store.Write{write}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func run(args ...string) (code int, stdout, stderr string) {
 	var out, errs bytes.Buffer
 	code = execute(args, &environment{stdout: &out, stderr: &errs})
@@ -78,6 +99,7 @@
 			t.Fatalf("%v: code %d, stdout %q, stderr %q", s.args, code, stdout, stderr)
 		}
 	}
+	register(t, address, shard.BalancerRecord{Name: "late", ConfigVersion: 1})
 	writeFile(t, dir, "20-drain.json", `{"hosts":{"h1":{"service":"studio","drain":true}}}`)
 	steps = steps[:0]
 	steps = append(steps, []struct {
@@ -89,8 +111,8 @@
 		{append([]string{"config", "apply", "--folder", dir, "--who", "noor", "--base", "0"}, in...), exitFailure, "kimi applied change one to it first"},
 		{append([]string{"config", "apply", "--folder", dir, "--who", "noor", "--base", "7"}, in...), exitUsage, "base version 7 does not exist"},
 		{append([]string{"config", "apply", "--folder", dir, "--who", "noor", "--change-id", "one"}, in...), exitUsage, "already used"},
-		{append([]string{"config", "apply", "--folder", dir, "--who", "noor", "--wait"}, in...), exitUsage, "no reporter"},
-		{append([]string{"config", "apply", "--folder", dir, "--who", "noor"}, in...), exitOK, "version 2 accepted"},
+		{append([]string{"config", "apply", "--folder", dir, "--who", "noor", "--wait", "--timeout", "1s"}, in...), exitFailure, "version 2 was accepted and is not in force on: late (version 1"},
+		{append([]string{"config", "apply", "--folder", dir, "--who", "noor"}, in...), exitOK, "version 2"},
 		{append([]string{"config", "rollback", "1", "--who", "kimi", "--reason", "wrong host"}, in...), exitOK, "version 3 accepted"},
 		{append([]string{"config", "rollback", "9", "--who", "kimi"}, in...), exitUsage, "version 9 does not exist"},
 		{append([]string{"config", "show", "--version", "9"}, in...), exitUsage, "version 9 does not exist"},
--- a/internal/platform/shard/keys.go
+++ b/internal/platform/shard/keys.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -56,6 +57,8 @@
 	Incarnation    uint64 `json:"incarnation"`
 	// ConfigVersion is the configuration version in force on the balancer.
 	ConfigVersion uint64 `json:"config_version"`
+	// Reported is when ConfigVersion was reported.
+	Reported time.Time `json:"reported"`
 }
 
 // Settings is what the configuration says about the services of all shards.
--- a/internal/platform/shard/register.go
+++ b/internal/platform/shard/register.go
@@ -148,6 +148,7 @@
 	defer func() { err = errors.WithMessagef(err, "register balancer %q", record.Name) }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	record.Reported = time.Now().UTC()
 	value, err := json.Marshal(record)
 	if err != nil {
 		return err
--- a/internal/role/balancer/role.go
+++ b/internal/role/balancer/role.go
@@ -15,6 +15,7 @@
 	"agateramp/internal/control/agents"
 	"agateramp/internal/operator/admin"
 	"agateramp/internal/operator/adminpb"
+	"agateramp/internal/operator/audit"
 	"agateramp/internal/operator/config"
 	"agateramp/internal/platform/shard"
 	"agateramp/internal/platform/store"
@@ -53,6 +54,7 @@
 	control  *agents.Service
 	admin    *admin.Server
 	certs    *certificates.Certificates
+	trail    *trail
 	// seen is the newest configuration version that was read.
 	seen atomic.Uint64
 }
@@ -65,7 +67,7 @@
 // New starts a balancer. It ends with the group.
 func New(c Config) (b *Balancer, err error) {
 	defer func() { err = errors.WithMessage(err, "start balancer") }()
-	b = &Balancer{settings: c.Settings, logger: c.Logger}
+	b = &Balancer{settings: c.Settings, logger: c.Logger, trail: newTrail(c.Store, c.Logger, c.Settings.Name)}
 	server, client, err := b.tls()
 	if err != nil {
 		return nil, err
@@ -86,6 +88,7 @@
 	if err = b.serveAdmin(c, server); err != nil {
 		return nil, err
 	}
+	c.Group.Go("audit trail", b.trail.run)
 	c.Group.Go("configuration watch", func(ctx context.Context) error {
 		return config.Watch(ctx, config.WatchConfig{Store: c.Store, Report: b.watchFailed}, b.configure)
 	})
@@ -147,17 +150,6 @@
 	return s
 }
 
-func (b *Balancer) observe(effect shard.Effect) {
-	switch e := effect.(type) {
-	case *shard.Ejected:
-		b.log("host_ejected", "service", e.ServiceID, "host", e.Host)
-	case *shard.Kept:
-		b.log("hosts_kept", "service", e.ServiceID, "lost", e.Lost, "total", e.Total)
-	case *shard.Blocked:
-		b.log("publication_blocked", "service", e.ServiceID, "version", e.Version, "waiting", fmt.Sprint(e.Waiting))
-	}
-}
-
 func (b *Balancer) log(event string, keyvals ...any) {
 	// A log line that cannot be written has no other place to go.
 	_ = level.Info(b.logger).Log(append([]any{"event", event}, keyvals...)...)
@@ -249,5 +241,10 @@
 		return errors.WithMessagef(admin.ErrUnknownHost, "%q is not attached to balancer %q", r.GetHost(), b.settings.Name)
 	}
 	b.log("drain_ordered", "host", r.GetHost(), "drain", !r.GetUndrain(), "who", r.GetWho(), "reason", r.GetReason(), "change_id", r.GetChangeId())
+	record := audit.Record{Kind: audit.KindDrain, Who: r.GetWho(), Subject: r.GetHost(), Reason: r.GetReason(), ChangeID: r.GetChangeId()}
+	if r.GetUndrain() {
+		record.Kind = audit.KindUndrain
+	}
+	b.trail.add(record)
 	return nil
 }
