--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -29,6 +29,8 @@
 	Drain    drainCommand    `cmd:"" help:"Have a host take no new flows, or take them again."`
 	Load     loadCommand     `cmd:"" help:"Send flows to a running system and print what was seen."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
+	Config   configCommand   `cmd:"" help:"Check, apply and inspect the configuration."`
+	Audit    auditCommand    `cmd:"" help:"Print and verify the audit trail."`
 }
 
 // environment is what commands write to; tests replace it.
