agent: Reopen a recovered flow on any port if its own is taken

The backend stand-in no longer runs late copies of requests whose answers it has forgotten, as TCP would drop them.

--- a/internal/role/agent/server.go
+++ b/internal/role/agent/server.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -38,14 +39,20 @@
 	if err = s.flows.Send(d.Key, payload); !errors.Is(err, datagram.ErrUnknownFlow) {
 		return 0, err
 	}
-	if port, err = s.flows.Open(d.Key, d.LocalPort); err != nil {
+	if port, err = s.bind(d.Key, d.LocalPort); err != nil {
 		return 0, err
 	}
 	return port, s.flows.Send(d.Key, payload)
 }
 
+// bind opens the socket of a flow on its port, or on any port if another process
+// took that one while no agent ran.
 func (s *datagramServer) bind(key flow.Key, port uint16) (bound uint16, err error) {
-	return s.flows.Open(key, port)
+	bound, err = s.flows.Open(key, port)
+	if port != 0 && errors.Is(err, syscall.EADDRINUSE) {
+		return s.flows.Open(key, 0)
+	}
+	return bound, err
 }
 
 func (s *datagramServer) closeFlow(key flow.Key) {
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -72,6 +72,9 @@
 	flow    uint64
 	answers map[uint32]*result
 	order   []uint32
+	// forgotten is the number of sequences, counted from 0, whose answers may have
+	// been dropped. A late copy of their requests is not run again.
+	forgotten uint32
 }
 
 // result is nil until the request has run.
@@ -181,6 +184,10 @@
 	}
 	s.mu.Lock()
 	r, fresh := s.accept(peer, &request)
+	if r == nil {
+		s.mu.Unlock()
+		return
+	}
 	if !fresh {
 		answer := r.answer
 		if answer == nil {
@@ -209,7 +216,8 @@
 	})
 }
 
-// accept finds or creates the result of a request. It is called with mu locked.
+// accept finds or creates the result of a request. It returns nil for a late copy
+// of a request whose answer is no longer kept. It is called with mu locked.
 func (s *Server) accept(peer any, request *payload.Request) (r *result, fresh bool) {
 	c := s.connections[peer]
 	if c == nil || c.flow != request.Flow {
@@ -222,11 +230,15 @@
 	if r = c.answers[request.Sequence]; r != nil && r.request == request.ID {
 		return r, false
 	}
+	if request.Sequence < c.forgotten {
+		return nil, false
+	}
 	r = &result{request: request.ID}
 	c.answers[request.Sequence] = r
 	c.order = append(c.order, request.Sequence)
 	if len(c.order) > keptAnswers {
 		delete(c.answers, c.order[0])
+		c.forgotten = max(c.forgotten, c.order[0]+1)
 		c.order = c.order[1:]
 	}
 	return r, true
