scenario: Check the README's commands, configuration and settings

Fault found: a settings field that is not an address was refused without its name; the loader now finds the field. Usage errors no longer end in ': usage'.

--- a/internal/cli/commands/dev.go
+++ b/internal/cli/commands/dev.go
@@ -67,12 +67,14 @@
 }
 
 type devCommand struct {
-	Check     bool   `help:"Run load while a balancer is replaced, a host drained and a weight edited; print a summary."`
-	StoreOnly bool   `help:"Run only the stand-in for the store."`
-	Listen    string `default:"127.0.0.1:2379" help:"Address of the stand-in for the store (with --store-only)."`
-	Config    string `type:"existingdir" help:"Configuration folder; without it, an example is written to a temporary one."`
-	LogLevel  string `default:"warn" enum:"debug,info,warn,error" help:"Level of the log: debug, info, warn or error."`
-	Seed      uint64 `default:"1" help:"Seed of the fabric's choices and of flow ids."`
+	Check       bool   `help:"Run load while a balancer is replaced, a host drained and a weight edited; print a summary."`
+	StoreOnly   bool   `help:"Run only the stand-in for the store."`
+	BackendOnly bool   `help:"Run only an echo backend server for flows of load."`
+	Service     uint32 `default:"1" help:"Id of the service of the backend server (with --backend-only)."`
+	Listen      string `default:"127.0.0.1:2379" help:"Address of the stand-in for the store or the backend server (with --store-only and --backend-only)."`
+	Config      string `type:"existingdir" help:"Configuration folder; without it, an example is written to a temporary one."`
+	LogLevel    string `default:"warn" enum:"debug,info,warn,error" help:"Level of the log: debug, info, warn or error."`
+	Seed        uint64 `default:"1" help:"Seed of the fabric's choices and of flow ids."`
 }
 
 // Run starts the system on loopback and serves until it is interrupted, or
@@ -83,6 +85,9 @@
 	if c.StoreOnly {
 		return c.serveStore(env, tasks)
 	}
+	if c.BackendOnly {
+		return c.serveBackend(env, tasks)
+	}
 	folder, remove, err := c.folder()
 	if err != nil {
 		return err
@@ -106,7 +111,7 @@
 	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
-		return errors.WithMessage(errUsage, err.Error())
+		return usage(err)
 	}
 	fmt.Fprintf(env.stdout, "store at %s, faults at http://%s/faults\n", listener.Addr(), listener.Addr())
 	tasks.Go("store", func(ctx context.Context) error { return server.Serve(ctx, listener) })
--- /dev/null
+++ b/internal/cli/commands/devbackend.go
@@ -0,0 +1,37 @@
+package commands
+
+import (
+	"fmt"
+	"net/netip"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/process/group"
+	"agateramp/internal/standin/backend"
+)
+
+// backendSlots is how many requests the echo backend server works on at once.
+const backendSlots = 2
+
+// serveBackend answers requests of the load tool until it is interrupted.
+func (c *devCommand) serveBackend(env *environment, tasks *group.Group) (err error) {
+	listen, err := netip.ParseAddrPort(c.Listen)
+	if err != nil {
+		return errors.WithMessagef(errUsage, "--listen: %v", err)
+	}
+	server, err := backend.New(backend.Config{Name: "backend", Service: c.Service, Slots: backendSlots, Group: tasks})
+	if err != nil {
+		return usage(err)
+	}
+	address, err := server.ServeUDP(listen)
+	if err != nil {
+		return usage(err)
+	}
+	if _, err = fmt.Fprintf(env.stdout, "backend server at %s\n", address); err != nil {
+		return err
+	}
+	waitSignal(tasks, notify(syscall.SIGTERM, syscall.SIGINT))
+	tasks.Stop()
+	return tasks.Wait()
+}
--- a/internal/cli/commands/load.go
+++ b/internal/cli/commands/load.go
@@ -70,7 +70,7 @@
 		RetransmitMS: c.RetransmitMS, Retransmissions: retransmissions, Refusal: refusal, Seed: c.Seed,
 	})
 	if err != nil {
-		return errors.WithMessage(errUsage, err.Error())
+		return usage(err)
 	}
 	summary, err := g.Run(ctx)
 	if err != nil {
--- a/internal/cli/commands/process.go
+++ b/internal/cli/commands/process.go
@@ -33,12 +33,12 @@
 func (c *balancerCommand) Run(env *environment) (err error) {
 	s, err := settings.LoadBalancer(c.Settings)
 	if err != nil {
-		return errors.WithMessage(errUsage, err.Error())
+		return usage(err)
 	}
 	logger := processLogger(env, s.Common)
 	client, err := balancerStore(s)
 	if err != nil {
-		return errors.WithMessage(errUsage, err.Error())
+		return usage(err)
 	}
 	defer client.Close()
 	tasks := group.New(context.Background())
@@ -88,7 +88,7 @@
 func (c *agentCommand) Run(env *environment) (err error) {
 	s, err := settings.LoadAgent(c.Settings)
 	if err != nil {
-		return errors.WithMessage(errUsage, err.Error())
+		return usage(err)
 	}
 	logger := processLogger(env, s.Common)
 	tasks := group.New(context.Background())
--- a/internal/cli/commands/status.go
+++ b/internal/cli/commands/status.go
@@ -38,7 +38,7 @@
 	}
 	c, err := certificates.New(certificates.Config{CertificateFile: f.Certificate, KeyFile: f.Key, AuthorityFile: f.Authority})
 	if err != nil {
-		return nil, errors.WithMessage(errUsage, err.Error())
+		return nil, usage(err)
 	}
 	return c.Client(), nil
 }
--- a/internal/cli/scenario/await_test.go
+++ b/internal/cli/scenario/await_test.go
@@ -47,6 +47,7 @@
 //	await log PROCESS REGEXP
 //	await file FILE REGEXP
 //	await exit PROCESS CODE
+//	await url URL                         an answer with status 200
 //	await load PATH OP VALUE              the summary of all loads so far
 //	await runs HOST OP VALUE              the runs in the record of a backend server
 //	await elapsed MILLISECONDS            the passing of a lease or deadline that no process shows
@@ -64,7 +65,7 @@
 
 func condition(ts *testscript.TestScript, args []string) func() (ok bool, seen string) {
 	f := fleetOf(ts)
-	counts := map[string]int{"status": 5, "hosts": 6, "metric": 5, "log": 3, "file": 3, "exit": 3, "load": 4, "runs": 4, "elapsed": 2}
+	counts := map[string]int{"status": 5, "hosts": 6, "metric": 5, "log": 3, "file": 3, "exit": 3, "load": 4, "runs": 4, "elapsed": 2, "url": 2}
 	if counts[args[0]] != len(args) {
 		ts.Fatalf("await %s: %d arguments, want %d", args[0], len(args)-1, counts[args[0]]-1)
 	}
@@ -82,6 +83,8 @@
 		return matchFile(f.logFile(args[1]), regexp.MustCompile(args[2]))
 	case "file":
 		return matchFile(ts.MkAbs(args[1]), regexp.MustCompile(args[2]))
+	case "url":
+		return func() (bool, string) { return reachable(args[1]) }
 	case "exit":
 		return func() (bool, string) {
 			p := f.process(args[1])
--- a/internal/cli/scenario/process_test.go
+++ b/internal/cli/scenario/process_test.go
@@ -39,6 +39,8 @@
 	mu        sync.Mutex
 	processes map[string]*process
 	ports     map[string]int
+	// machines holds the last part of the IP address of each machine.
+	machines map[string]int
 	// roles are the roles that were started, by process name.
 	roles    map[string]string
 	services map[string]*service
@@ -63,14 +65,16 @@
 func newFleet(ip, work string) *fleet {
 	return &fleet{
 		ip: ip, work: work, history: history.New(), loads: make(map[string]*runningLoad), tasks: newGroup(),
-		processes: make(map[string]*process), ports: make(map[string]int), roles: make(map[string]string), services: make(map[string]*service),
+		processes: make(map[string]*process), ports: make(map[string]int), roles: make(map[string]string), machines: make(map[string]int), services: make(map[string]*service),
 		definitions: make(map[string]*controlpb.Service),
 	}
 }
 
 func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
 
-// address returns the address with a name, the same one for each call.
+// address returns the address with a name such as studio-1.data, the same one for
+// each call. Each machine has an IP address of its own: the sockets that one opens
+// on any port must not take the ports of another's flows.
 func (f *fleet) address(name string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,7 +83,13 @@
 		port = firstPort + len(f.ports)
 		f.ports[name] = port
 	}
-	return fmt.Sprintf("%s:%d", f.ip, port)
+	machine, _, _ := strings.Cut(name, ".")
+	last, ok := f.machines[machine]
+	if !ok {
+		last = 2 + len(f.machines)
+		f.machines[machine] = last
+	}
+	return fmt.Sprintf("%s.%d:%d", strings.TrimSuffix(f.ip, ".1"), last, port)
 }
 
 func (f *fleet) logFile(name string) string { return filepath.Join(f.work, name+".log") }
--- a/internal/cli/scenario/roles_test.go
+++ b/internal/cli/scenario/roles_test.go
@@ -253,6 +253,13 @@
 	return do(ctx, client)
 }
 
+// cmdDefinitions reads the services of a configuration that the script applied by
+// the command line, for load.
+func cmdDefinitions(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 0, "definitions")
+	ts.Check(fleetOf(ts).readDefinitions())
+}
+
 // readDefinitions keeps the services of the configuration in force, so that load
 // starts also while the store is down.
 func (f *fleet) readDefinitions() error {
--- a/internal/cli/scenario/scenario_test.go
+++ b/internal/cli/scenario/scenario_test.go
@@ -2,10 +2,14 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"io/fs"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -44,22 +48,25 @@
 
 func scriptCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	return map[string]func(ts *testscript.TestScript, neg bool, args []string){
-		"start":    cmdStart,
-		"signal":   cmdSignal,
-		"await":    cmdAwait,
-		"store":    cmdStore,
-		"fabric":   cmdFabric,
-		"balancer": cmdBalancer,
-		"backend":  cmdBackend,
-		"agent":    cmdAgent,
-		"apply":    cmdApply,
-		"settled":  cmdSettled,
-		"load":     cmdLoad,
-		"finish":   cmdFinish,
-		"expect":   cmdExpect,
-		"mark":     cmdMark,
-		"replace":  cmdReplace,
-		"examples": cmdExamples,
+		"start":       cmdStart,
+		"signal":      cmdSignal,
+		"await":       cmdAwait,
+		"store":       cmdStore,
+		"fabric":      cmdFabric,
+		"balancer":    cmdBalancer,
+		"backend":     cmdBackend,
+		"agent":       cmdAgent,
+		"apply":       cmdApply,
+		"settled":     cmdSettled,
+		"load":        cmdLoad,
+		"finish":      cmdFinish,
+		"expect":      cmdExpect,
+		"mark":        cmdMark,
+		"replace":     cmdReplace,
+		"examples":    cmdExamples,
+		"exits":       cmdExits,
+		"readme":      cmdReadme,
+		"definitions": cmdDefinitions,
 	}
 }
 
@@ -110,6 +117,41 @@
 	}))
 }
 
+// cmdExits runs a command to its end: exits CODE COMMAND ARGUMENT...
+func cmdExits(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "exits CODE COMMAND ARGUMENT...")
+	err := ts.Exec(args[1], args[2:]...)
+	var exit *exec.ExitError
+	code := 0
+	if errors.As(err, &exit) {
+		code = exit.ExitCode()
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if strconv.Itoa(code) != args[0] {
+		ts.Fatalf("exit code %d, want %s", code, args[0])
+	}
+}
+
+// cmdReadme checks that the README prints the commands that the script runs.
+func cmdReadme(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 0, "readme")
+	readme, err := os.ReadFile("../../../README.md")
+	ts.Check(err)
+	script, err := os.ReadFile("testdata/scripts/readme.txtar")
+	ts.Check(err)
+	lines := regexp.MustCompile(`(?m)^    \./agateramp (.*)$`).FindAllSubmatch(readme, -1)
+	if len(lines) < 5 {
+		ts.Fatalf("the README prints %d commands", len(lines))
+	}
+	for _, line := range lines {
+		command := "agateramp " + strings.NewReplacer("127.0.0.1", "$IP", `"`, "'").Replace(string(line[1]))
+		if !strings.Contains(string(script), command+"\n") {
+			ts.Fatalf("the script does not run the README's command %s", command)
+		}
+	}
+}
+
 func need(ts *testscript.TestScript, neg bool, args []string, least int, usage string) {
 	if neg || len(args) < least {
 		ts.Fatalf("usage: %s", usage)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -5,9 +5,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
+	"reflect"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -203,7 +206,11 @@
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err = decoder.Decode(into); err != nil {
-		return decodeError(file, err)
+		fault := decodeError(file, err)
+		if fault.field == "" {
+			fault.field = faultyField(data, "", reflect.TypeOf(into).Elem(), nil)
+		}
+		return fault
 	}
 	if decoder.More() {
 		return &Error{file: file, reason: "has data after the settings object"}
@@ -211,6 +218,27 @@
 	return nil
 }
 
+// faultyField returns the first field of an object that cannot be decoded on its
+// own, or "". The decoder does not name fields whose own type reports the error,
+// such as addresses.
+func faultyField(data []byte, name string, settings reflect.Type, path []string) string {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return name
+	}
+	for _, key := range slices.Sorted(maps.Keys(fields)) {
+		inner := append(slices.Clone(path), key)
+		object := []byte(fields[key])
+		for _, step := range slices.Backward(inner) {
+			object, _ = json.Marshal(map[string]json.RawMessage{step: object})
+		}
+		if json.Unmarshal(object, reflect.New(settings).Interface()) != nil {
+			return faultyField(fields[key], strings.Join(inner, "."), settings, inner)
+		}
+	}
+	return name
+}
+
 func decodeError(file string, err error) *Error {
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -42,6 +42,9 @@
 	}{
 		{"unknown field", `{"nam":"b"}`, "nam", loadBalancer},
 		{"wrong type", `{"workers":"two"}`, "workers", loadBalancer},
+		{"not an address", `{"control_address":"nowhere"}`, "control_address", loadBalancer},
+		{"not an address in a list", `{"store_endpoints":["127.0.0.1:2","nowhere"]}`, "store_endpoints", loadBalancer},
+		{"not an address in an object", `{"backend":{"slots":2,"address":"nowhere"}}`, "backend.address", loadAgent},
 		{"no data centre", `{"name":"b"}`, "data_centre", loadBalancer},
 		{"bad name", `{"name":"B 1"}`, "name", loadBalancer},
 		{"no control address", `{` + common + `}`, "control_address", loadBalancer},
