--- a/internal/operator/config/watch.go
+++ b/internal/operator/config/watch.go
@@ -113,7 +113,7 @@
 			if e.Deleted || e.Entry.Key != CurrentKey {
 				continue
 			}
-m, err := decodeEntry(&e.Entry)
+			m, err := decodeEntry(&e.Entry)
 			if err == nil {
 				err = w.hand(m)
 			}
