weights: Weight the mean and doubt short averages

With noisy busy shares a new holder changed weights 14 to 21 times before it knew the noise, and one overloaded host made all others seem idle and drove them to their limit, where learning stopped. The mean counts hosts by weight, noise is pooled over the hosts of a service, and few batches need a larger deviation. Slow start no longer enters the averages.

--- a/internal/core/weights/learn.go
+++ b/internal/core/weights/learn.go
@@ -100,18 +100,17 @@
 // mean of the service at the same time, so that a load that rises and falls is
 // not taken for a deviation.
 func (l *Learner) sample(now time.Time) {
-	sum, n := 0.0, 0.0
-	for _, h := range l.hosts {
-		if h.learns(now) && now.Sub(h.sharedAt) < fresh && !h.limited(l.rules) {
-			sum += h.share
-			n++
-		}
-	}
+	level, n := l.meanShare(now, func(*host) bool { return true })
 	if n < 2 {
 		l.level = average{}
 		return
 	}
-	l.level.add(sum/n, levelMemory)
+	// A host at a limit stays more or less busy than the others; if it counted in
+	// the mean, the weights of all others would go on moving.
+	if free, n := l.meanShare(now, func(h *host) bool { return !h.limited(level, l.rules) }); n >= 2 {
+		level = free
+	}
+	l.level.add(level, levelMemory)
 	if l.level.mean < l.rules.idle {
 		return
 	}
@@ -122,6 +121,21 @@
 	}
 }
 
+// meanShare returns the mean busy share of the warm hosts that match, and their
+// number. Hosts count by weight, so that a slow host that is overloaded does not
+// make all others seem idle.
+func (l *Learner) meanShare(now time.Time, match func(h *host) bool) (mean float64, n int) {
+	sum, weight := 0.0, 0.0
+	for _, h := range l.hosts {
+		if h.learns(now) && now.Sub(h.sharedAt) < fresh && match(h) {
+			sum += h.share * h.learned
+			weight += h.learned
+			n++
+		}
+	}
+	return sum / max(weight, 1), n
+}
+
 // levelMemory is the number of seconds over which the mean of a service is
 // smoothed.
 const levelMemory = 10
@@ -130,14 +144,21 @@
 // as busy as the others. It starts from the published weight, to which the busy
 // shares belong, so that the same evidence is not counted twice.
 func (l *Learner) learn(now time.Time) {
+	sum, count := 0.0, 0.0
+	for _, h := range l.hosts {
+		h.closeBatch(now, l.rules)
+		sum += h.noise.mean * h.noise.count
+		count += h.noise.count
+	}
+	common := sum / max(count, 1)
 	for _, h := range l.hosts {
-		h.closeBatch(l.rules)
 		if !h.learns(now) || h.published == 0 || h.noise.count < minNoise {
 			continue
 		}
-		deviation, ok := h.deviation(h.slow, l.rules.slow)
+		noise := max(common, h.noise.mean)
+		deviation, ok := l.rules.slow.deviation(h.slow, noise)
 		if !ok {
-			deviation, ok = h.deviation(h.fast, l.rules.fast)
+			deviation, ok = l.rules.fast.deviation(h.fast, noise)
 		}
 		if !ok {
 			continue
@@ -151,30 +172,35 @@
 // closeBatch adds the last batch to the averages. The noise is taken from the
 // difference of successive batches, which a slow change of the mean does not
 // affect.
-func (h *host) closeBatch(r rules) {
+func (h *host) closeBatch(now time.Time, r rules) {
 	batch := h.batch
 	h.batch = average{}
 	if batch.count < minSamples {
 		return
 	}
-	if h.slow.count > 0 {
+	if h.batches > 0 {
 		difference := batch.mean - h.last
 		h.noise.add(difference*difference/2, r.slow.batches)
 	}
 	h.last = batch.mean
+	h.batches++
+	if now.Before(h.warmAt.Add(r.interval)) {
+		return // a part of the batch belongs to the slow start
+	}
 	h.fast.add(batch.mean, r.fast.batches)
 	h.slow.add(batch.mean, r.slow.batches)
 }
 
-// deviation returns how far a host is from the mean, and whether that is worth a
-// new weight.
-func (h *host) deviation(a average, w window) (deviation float64, ok bool) {
+// deviation returns how far an average is from 1, the mean of the service, and
+// whether that is worth a new weight. Few batches say little about their own
+// noise, so more doubt is due then.
+func (w window) deviation(a average, noise float64) (deviation float64, ok bool) {
 	if a.count == 0 {
 		return 0, false
 	}
 	deviation = a.mean - 1
-	standardError := math.Sqrt(correlation * h.noise.mean / a.count)
-	return deviation, math.Abs(deviation) > max(w.ignore, w.doubt*standardError)
+	doubt := w.doubt * (1 + 2/a.count) * math.Sqrt(correlation*noise/a.count)
+	return deviation, math.Abs(deviation) > max(w.ignore, doubt)
 }
 
 func (h *host) learns(now time.Time) bool {
@@ -187,12 +213,11 @@
 	h.learned = min(announced*r.limit, max(announced/r.limit, h.learned*factor))
 }
 
-// limited reports whether the learned weight is at a limit. Such a host stays more
-// or less busy than the others; if it counted in the mean, the weights of all
-// others would go on moving.
-func (h *host) limited(r rules) bool {
+// limited reports whether the weight of a host would have to go past its limit to
+// make it as busy as the others.
+func (h *host) limited(level float64, r rules) bool {
 	announced := float64(h.member.Weight)
-	return h.learned >= announced*r.limit || h.learned <= announced/r.limit
+	return h.learned >= announced*r.limit && h.share < level || h.learned <= announced/r.limit && h.share > level
 }
 
 // observeSaturation counts successive saturated heartbeats. Where requests are
--- a/internal/core/weights/weights.go
+++ b/internal/core/weights/weights.go
@@ -58,9 +58,10 @@
 	sharedAt time.Time
 	// batch, fast and slow average busy shares relative to the mean of the service,
 	// from settledAt on, when heartbeats tell about the present weight. last is the
-	// last batch, noise the variance of batches.
+	// last of batches batches, noise the variance of a batch.
 	batch, fast, slow, noise average
 	last                     float64
+	batches                  int
 	settledAt                time.Time
 	// run counts the saturated heartbeats up to now, usualRun is the mean length of
 	// earlier runs.
@@ -132,7 +133,7 @@
 }
 
 func (h *host) settle(now time.Time, r rules) {
-	h.batch, h.fast, h.slow = average{}, average{}, average{}
+	h.batch, h.fast, h.slow, h.batches = average{}, average{}, average{}, 0
 	h.settledAt = now.Add(r.settle)
 }
 
