roles: Drop packets that waited while the process was paused

Cause: a balancer that was paused for 36 s forwarded the first packets that had waited in its socket; the hosts that had refused these flows since remember that for 10 s. Change: a guard notices that the process did not run for more than 2 s, and both roles drop packets for the first 200 ms after that; callers send them again.

--- a/internal/core/flow/reason.go
+++ b/internal/core/flow/reason.go
@@ -33,6 +33,8 @@
 	ReasonOwnerLost Reason = "owner_lost"
 	// ReasonDuplicate is a copy of a packet whose flow is being decided.
 	ReasonDuplicate Reason = "duplicate"
+	// ReasonStale is a packet that may have waited while the process was paused.
+	ReasonStale Reason = "stale"
 	// ReasonTableFull is a flow refused because the flow map reached its bound.
 	ReasonTableFull Reason = "table_full"
 )
--- a/internal/role/agent/datapath.go
+++ b/internal/role/agent/datapath.go
@@ -17,6 +17,7 @@
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/process/pause"
 	"agateramp/internal/process/settings"
 )
 
@@ -41,6 +42,9 @@
 func newDispatcher(c dataPathConfig) (d *dispatcher, err error) {
 	defer func() { err = errors.WithMessage(err, "open data path") }()
 	d = &dispatcher{peers: c.peers, metrics: c.metrics, limited: logging.NewLimited(c.logger)}
+	if d.pause, err = pause.New(pause.Config{Group: c.group}); err != nil {
+		return nil, err
+	}
 	d.effects.New = func() any { return new([]owner.Effect) }
 	d.port, err = geneve.New(geneve.Config{
 		Listen: c.settings.DataAddress, Workers: c.settings.Workers, Accept: c.peers.accepts,
--- a/internal/role/agent/deliver.go
+++ b/internal/role/agent/deliver.go
@@ -12,6 +12,7 @@
 	"agateramp/internal/packet/geneve"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/process/pause"
 )
 
 // frameSender sends a frame: the port at once, a worker's writer in batches.
@@ -51,6 +52,7 @@
 	port    *geneve.Port
 	server  server
 	peers   peers
+	pause   *pause.Guard
 	metrics *metrics.Registry
 	limited *logging.Limited
 	// serviceID is 0 until the first table spec.
@@ -69,9 +71,14 @@
 		d.dropped(flow.ReasonForeignPeer)
 		return
 	}
+	now := time.Now()
+	if d.pause.Stale(now) {
+		d.dropped(flow.ReasonStale)
+		return
+	}
 	effects := d.effects.Get().(*[]owner.Effect)
 	defer d.effects.Put(effects)
-	*effects = d.owner.HandlePacket(time.Now(), header, packet, (*effects)[:0])
+	*effects = d.owner.HandlePacket(now, header, packet, (*effects)[:0])
 	d.apply(w, *effects)
 }
 
--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/process/pause"
 	"agateramp/internal/process/settings"
 )
 
@@ -48,6 +49,9 @@
 	if len(c.Settings.FabricAddresses) > 0 {
 		f.fabric = c.Settings.FabricAddresses[0]
 	}
+	if f.pause, err = pause.New(pause.Config{Group: c.Group}); err != nil {
+		return nil, err
+	}
 	f.port, err = geneve.New(geneve.Config{
 		Listen: c.Settings.DataAddress, Workers: c.Settings.Workers, Accept: f.accept, Handler: f, Dropped: f.dropped, Group: c.Group,
 	})
--- a/internal/role/balancer/forward.go
+++ b/internal/role/balancer/forward.go
@@ -13,6 +13,7 @@
 	"agateramp/internal/packet/geneve"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/process/pause"
 )
 
 // protocolTCP is the IP protocol number of TCP.
@@ -34,6 +35,7 @@
 	router   *router.Router
 	port     *geneve.Port
 	services *datagram.Services
+	pause    *pause.Guard
 	metrics  *metrics.Registry
 	limited  *logging.Limited
 	fabrics  map[netip.AddrPort]struct{}
@@ -103,9 +105,14 @@
 }
 
 func (f *forwarder) forward(out frameSender, packet *flow.Packet) {
+	now := time.Now()
+	if f.pause.Stale(now) {
+		f.dropped(flow.ReasonStale)
+		return
+	}
 	space := f.scratches.Get().(*workspace)
 	defer f.scratches.Put(space)
-	switch d := f.router.Decide(time.Now(), packet, &space.scratch).(type) {
+	switch d := f.router.Decide(now, packet, &space.scratch).(type) {
 	case *router.Forward:
 		f.sent(out.Send(d.To, &d.Header, packet.Data))
 	case *router.Refuse:
