--- a/internal/role/balancer/forward.go
+++ b/internal/role/balancer/forward.go
@@ -16,8 +16,11 @@
 	"agateramp/internal/process/pause"
 )
 
-// protocolTCP is the IP protocol number of TCP.
-const protocolTCP = 6
+// IP protocol numbers.
+const (
+	protocolTCP = 6
+	protocolUDP = 17
+)
 
 // frameSender sends a frame: the port at once, a worker's writer in batches.
 type frameSender interface {
@@ -93,8 +96,11 @@
 }
 
 // datagram reports whether the service address of a flow, its destination, is
-// taken as plain datagrams.
+// taken as plain datagrams. A TCP service may have the same address and port.
 func (f *forwarder) datagram(key flow.Key) bool {
+	if key.Protocol() != protocolUDP {
+		return false
+	}
 	_, ok := f.datagrams[key.Destination()]
 	return ok
 }
