--- a/internal/role/balancer/forward.go
+++ b/internal/role/balancer/forward.go
@@ -13,10 +13,14 @@
 	"agateramp/internal/packet/geneve"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/process/pause"
 )
 
-// protocolTCP is the IP protocol number of TCP.
-const protocolTCP = 6
+// IP protocol numbers.
+const (
+	protocolTCP = 6
+	protocolUDP = 17
+)
 
 // frameSender sends a frame: the port at once, a worker's writer in batches.
 type frameSender interface {
@@ -34,6 +38,7 @@
 	router   *router.Router
 	port     *geneve.Port
 	services *datagram.Services
+	pause    *pause.Guard
 	metrics  *metrics.Registry
 	limited  *logging.Limited
 	fabrics  map[netip.AddrPort]struct{}
@@ -91,8 +96,11 @@
 }
 
 // datagram reports whether the service address of a flow, its destination, is
-// taken as plain datagrams.
+// taken as plain datagrams. A TCP service may have the same address and port.
 func (f *forwarder) datagram(key flow.Key) bool {
+	if key.Protocol() != protocolUDP {
+		return false
+	}
 	_, ok := f.datagrams[key.Destination()]
 	return ok
 }
@@ -103,9 +111,14 @@
 }
 
 func (f *forwarder) forward(out frameSender, packet *flow.Packet) {
+	now := time.Now()
+	if f.pause.Stale(now) {
+		f.dropped(flow.ReasonStale)
+		return
+	}
 	space := f.scratches.Get().(*workspace)
 	defer f.scratches.Put(space)
-	switch d := f.router.Decide(time.Now(), packet, &space.scratch).(type) {
+	switch d := f.router.Decide(now, packet, &space.scratch).(type) {
 	case *router.Forward:
 		f.sent(out.Send(d.To, &d.Header, packet.Data))
 	case *router.Refuse:
