agent: Answer through live balancers and take frames from known networks

Cause: an answer went to the balancer of the flow's last packet, also after its death; a caller that only listens would never get another. Agents took tunnelled packets from any address. Change: balancers give their data address when a stream opens; answers go through one with an open stream. accept_from names the networks of balancers and agents; without it only loopback is taken, and any other data address is refused. Conclusion: networks, not single members, are checked, because a balancer that starts during a store outage is in no list yet.

--- a/internal/control/agents/service.go
+++ b/internal/control/agents/service.go
@@ -217,7 +217,7 @@
 func (s *Service) hello() *controlpb.Hello {
 	return &controlpb.Hello{
 		Role: controlpb.Hello_ROLE_BALANCER, Name: s.config.Name, DataCentre: s.config.DataCentre,
-		Incarnation: s.config.Incarnation,
+		Incarnation: s.config.Incarnation, Member: &controlpb.Member{Address: s.config.DataAddress},
 	}
 }
 
--- a/internal/control/balancers/balancers.go
+++ b/internal/control/balancers/balancers.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -84,6 +85,8 @@
 	peer *peer.Peer
 	// leaving is set when the balancer said that it stops.
 	leaving bool
+	// data is the data address of the balancer, the zero value if it gave none.
+	data netip.AddrPort
 }
 
 // New starts to keep the streams; they end with the group.
@@ -161,6 +164,24 @@
 	}
 }
 
+// Live returns wanted if it is the data address of a balancer with a stream.
+// Otherwise it returns that of another one with a stream, or wanted if there is none.
+func (s *Service) Live(wanted netip.AddrPort) (address netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	address = wanted
+	for _, l := range s.links {
+		if l.peer == nil || l.leaving || !l.data.IsValid() {
+			continue
+		}
+		if l.data == wanted {
+			return wanted
+		}
+		address = l.data
+	}
+	return address
+}
+
 // Connected returns the number of balancers with a stream.
 func (s *Service) Connected() (n int) {
 	s.mu.Lock()
@@ -239,6 +260,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.peer, l.leaving = p, false
+	l.data, _ = netip.ParseAddrPort(p.Hello().GetMember().GetAddress())
 	if s.ack != nil {
 		_ = p.Send(&controlpb.Frame{Body: &controlpb.Frame_Ack{Ack: s.ack}})
 	}
--- a/internal/process/settings/check.go
+++ b/internal/process/settings/check.go
@@ -69,3 +69,16 @@
 	c.count("backend.connections", &b.Connections, defaultConnections, maxConnections)
 	c.count("backend.weight", &b.Weight, b.Slots*weightPerSlot, maxWeight)
 }
+
+func (c *checker) acceptFrom(a *Agent) {
+	if len(a.AcceptFrom) > 0 {
+		return
+	}
+	c.require("accept_from", a.DataAddress.Addr().IsLoopback(), "the networks of balancers and agents are needed")
+	a.AcceptFrom = Loopback()
+}
+
+// Loopback returns the loopback networks.
+func Loopback() []netip.Prefix {
+	return []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8"), netip.MustParsePrefix("::1/128")}
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -129,6 +129,9 @@
 	Backend Backend `json:"backend"`
 	// Balancers are control addresses of balancers, preferred first. It must be set.
 	Balancers []netip.AddrPort `json:"balancers"`
+	// AcceptFrom are the networks of balancers and agents, from which tunnelled
+	// packets are taken. Empty means loopback; it must be set for any other data address.
+	AcceptFrom []netip.Prefix `json:"accept_from"`
 }
 
 const (
@@ -192,6 +195,7 @@
 		c.address(fmt.Sprintf("balancers[%d]", i), address)
 	}
 	c.backend(&a.Backend)
+	c.acceptFrom(a)
 	if c.err != nil {
 		return nil, c.err
 	}
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -52,6 +52,7 @@
 		{"half of tls", `{` + common + `,"control_address":"127.0.0.1:3","tls":{"key_file":"k"}}`, "tls", loadBalancer},
 		{"log level", `{` + common + `,"control_address":"127.0.0.1:3","log_level":"loud"}`, "log_level", loadBalancer},
 		{"bind", `{` + common + `,"control_address":"127.0.0.1:3","datagram_binds":[{}]}`, "datagram_binds[0].service_address", loadBalancer},
+		{"open to every network", `{"name":"a","data_centre":"d","data_address":"192.0.2.1:1","control_address":"127.0.0.1:2","service":"s","balancers":["127.0.0.1:3"],"backend":{"address":"127.0.0.1:4"}}`, "accept_from", loadAgent},
 		{"no service", `{"name":"a","data_centre":"d","data_address":"127.0.0.1:1","control_address":"127.0.0.1:2"}`, "service", loadAgent},
 	}
 	for _, test := range tests {
--- a/internal/role/agent/role.go
+++ b/internal/role/agent/role.go
@@ -219,10 +219,19 @@
 }
 
 // accepts implements peers.
-func (a *Agent) accepts(netip.AddrPort) bool { return true }
+func (a *Agent) accepts(address netip.AddrPort) bool {
+	for _, prefix := range a.settings.AcceptFrom {
+		if prefix.Contains(address.Addr()) {
+			return true
+		}
+	}
+	return false
+}
 
-// returnAddress implements peers.
-func (a *Agent) returnAddress(wanted netip.AddrPort) netip.AddrPort { return wanted }
+// returnAddress implements peers. Answers go through a balancer that is known
+// to be alive: a caller that only listens sends no packet that would show the
+// way through another one.
+func (a *Agent) returnAddress(wanted netip.AddrPort) netip.AddrPort { return a.balancers.Live(wanted) }
 
 func (a *Agent) log(event string, keyvals ...any) {
 	// A log line that cannot be written has no other place to go.
--- a/internal/standin/system/hosts.go
+++ b/internal/standin/system/hosts.go
@@ -54,7 +54,7 @@
 			Mode: settings.ModeDatagram, Address: h.address, Slots: h.config.Slots, Connections: connections,
 			Weight: h.config.Slots * milliweight,
 		},
-		Balancers: s.controlAddresses(),
+		Balancers: s.controlAddresses(), AcceptFrom: settings.Loopback(),
 	}
 	tasks := group.New(s.config.Group.Context())
 	a, err := agent.New(agent.Config{Settings: own, Logger: s.config.Logger, Metrics: metrics.New(), Group: tasks})
