--- a/internal/core/owner/bound_test.go
+++ b/internal/core/owner/bound_test.go
@@ -100,3 +100,13 @@
 		i = (i + 1) % len(packets)
 	}
 }
+
+// Guards against faults that show in few schedules only; check.sh --long runs it.
+func TestLongSchedules(t *testing.T) {
+	if os.Getenv("AGATERAMP_LONG") != "1" {
+		t.Skip("AGATERAMP_LONG is not 1")
+	}
+	seeds := seedsUpTo(longSchedules)[boundSchedules:]
+	checkSchedules(t, false, seeds)
+	checkSchedules(t, true, seeds)
+}
--- a/internal/core/owner/runs_test.go
+++ b/internal/core/owner/runs_test.go
@@ -17,8 +17,10 @@
 
 const (
 	parallelParts = 5
-	// boundSchedules of each kind run with the bounds, ordinarySchedules otherwise.
+	// boundSchedules of each kind run with the bounds, those up to longSchedules with
+	// check.sh --long, and ordinarySchedules otherwise.
 	boundSchedules    = 1000
+	longSchedules     = 4000
 	ordinarySchedules = 25
 )
 
