--- a/internal/core/weights/learn.go
+++ b/internal/core/weights/learn.go
@@ -114,7 +114,7 @@
 	if l.level.mean < l.rules.idle {
 		return
 	}
-	for _, h := range l.hosts {
+	for _, h := range l.order {
 		if now.Sub(h.sharedAt) < fresh && !now.Before(h.settledAt) {
 			h.batch.add(h.share/l.level.mean, math.Inf(1))
 		}
@@ -126,7 +126,7 @@
 // make all others seem idle.
 func (l *Learner) meanShare(now time.Time, match func(h *host) bool) (mean float64, n int) {
 	sum, weight := 0.0, 0.0
-	for _, h := range l.hosts {
+	for _, h := range l.order {
 		if h.learns(now) && now.Sub(h.sharedAt) < fresh && match(h) {
 			sum += h.share * h.learned
 			weight += h.learned
@@ -145,13 +145,13 @@
 // shares belong, so that the same evidence is not counted twice.
 func (l *Learner) learn(now time.Time) {
 	sum, count := 0.0, 0.0
-	for _, h := range l.hosts {
+	for _, h := range l.order {
 		h.closeBatch(now, l.rules)
 		sum += h.noise.mean * h.noise.count
 		count += h.noise.count
 	}
 	common := sum / max(count, 1)
-	for _, h := range l.hosts {
+	for _, h := range l.order {
 		if !h.learns(now) || h.published == 0 || h.noise.count < minNoise {
 			continue
 		}
@@ -238,17 +238,17 @@
 // calm, at most a third of the hosts at once.
 func (l *Learner) cutOutliers(now time.Time) {
 	cut := 0
-	for _, h := range l.hosts {
+	for _, h := range l.order {
 		if now.Sub(h.cutAt) < l.rules.recent {
 			cut++
 		}
 	}
-	for name, h := range l.hosts {
-		if h.member.Weight == 0 || h.run < max(l.rules.runs, 4*h.usualRun) || l.calmBeside(name) > l.rules.calm {
+	for _, h := range l.order {
+		if h.member.Weight == 0 || h.run < max(l.rules.runs, 4*h.usualRun) || l.calmBeside(h) > l.rules.calm {
 			continue
 		}
 		recent := now.Sub(h.cutAt) < l.rules.recent
-		if !recent && 3*(cut+1) > len(l.hosts) {
+		if !recent && 3*(cut+1) > len(l.order) {
 			continue
 		}
 		if !recent {
@@ -260,10 +260,10 @@
 }
 
 // calmBeside returns the mean busy share of the other hosts.
-func (l *Learner) calmBeside(name string) float64 {
+func (l *Learner) calmBeside(host *host) float64 {
 	sum, n := 0.0, 0
-	for other, h := range l.hosts {
-		if other != name {
+	for _, h := range l.order {
+		if h != host {
 			sum += h.share
 			n++
 		}
--- a/internal/core/weights/weights.go
+++ b/internal/core/weights/weights.go
@@ -35,6 +35,8 @@
 type Learner struct {
 	rules rules
 	hosts map[string]*host
+	// order holds the hosts by name, so that the same input gives the same sums.
+	order []*host
 	// nextStep is when weights are learned next.
 	nextStep time.Time
 	// level is the mean busy share of the warm hosts.
@@ -98,6 +100,11 @@
 			publish = true
 		}
 	}
+	l.order = l.order[:0]
+	for _, h := range l.hosts {
+		l.order = append(l.order, h)
+	}
+	slices.SortFunc(l.order, func(a, b *host) int { return strings.Compare(a.member.Host, b.member.Host) })
 	return publish
 }
 
@@ -160,8 +167,8 @@
 		l.nextStep = now.Add(l.rules.interval)
 		l.learn(now)
 	}
-	weights = make([]Weight, 0, len(l.hosts))
-	for name, h := range l.hosts {
+	weights = make([]Weight, 0, len(l.order))
+	for _, h := range l.order {
 		effective := h.effective(now, l.rules)
 		if h.published > 0 && math.Abs(effective/h.published-1) <= l.rules.band {
 			effective = h.published
@@ -169,9 +176,8 @@
 		if effective != h.published && (l.budget >= 1 || h.urgent(now, l.rules)) {
 			publish = true
 		}
-		weights = append(weights, Weight{Host: name, Weight: toThousandths(effective)})
+		weights = append(weights, Weight{Host: h.member.Host, Weight: toThousandths(effective)})
 	}
-	slices.SortFunc(weights, func(a, b Weight) int { return strings.Compare(a.Host, b.Host) })
 	return weights, publish
 }
 
