router: Put second choices in place of suspected hosts

The router left suspected hosts of older versions out of a path. Paths of different versions then share no host that decides, so two hosts could each take one flow. As in the owner, the second choice of the same version now stands in, and every retained version keeps its hop.

--- a/internal/core/router/router_test.go
+++ b/internal/core/router/router_test.go
@@ -176,7 +176,10 @@
 				is.True(hop.Address != dead)
 				is.True(j == 0 || hop.RoleVersion < h.Path[j-1].RoleVersion)
 			}
-			is.Equal(h.FirstSuspected, route.Hops[0].Address == dead)
+			// The newest first choice can be merged into an older hop of the same host.
+			newest := r.Table(1).AppendPath(nil, p.Hash, 5)[0].Address
+			is.Equal(h.FirstSuspected, newest == dead)
+			is.True(h.Path[h.PathLen-1].RoleVersion == 3) // every version has its hop
 			if h.FirstSuspected {
 				replaced++
 				is.Equal(f.To, route.SecondChoice)
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -131,6 +131,39 @@
 	return n > 0
 }
 
+// SetPathAvoiding does what SetPath does, but puts the second choice of a version
+// in the place of a first choice that is suspected, unless that is suspected as
+// well. The host is not left out: a path of another version would then no longer
+// share the host that decides.
+func (t *Table) SetPathAvoiding(h *flow.Header, hash uint64, suspected map[netip.AddrPort]struct{}) bool {
+	if !t.SetPath(h, hash) {
+		return false
+	}
+	first, second := &t.choices[t.buckets[Bucket(hash)].path], &t.seconds[Bucket(hash)]
+	n := 0
+	for i := range t.versions {
+		if first[i] == none {
+			continue
+		}
+		address := t.Address(first[i])
+		if _, ok := suspected[address]; ok && second[i] != none {
+			other := t.Address(second[i])
+			if _, ok := suspected[other]; !ok {
+				address = other
+				h.FirstSuspected = h.FirstSuspected || i == 0
+			}
+		}
+		if n == 0 || h.Path[n-1].Address != address {
+			h.Path[n].Address = address
+			n++
+		}
+		h.Path[n-1].RoleVersion = t.newest - uint64(i)
+	}
+	clear(h.Path[n:])
+	h.PathLen = n
+	return true
+}
+
 // Address returns the data address with an index of Addresses, or the zero value
 // when there is none.
 func (t *Table) Address(index uint16) (address netip.AddrPort) {
