--- /dev/null
+++ b/internal/core/owner/admission_test.go
@@ -0,0 +1,132 @@
+package owner
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+)
+
+func headerTo(host int) *flow.Header {
+	h := &flow.Header{ServiceID: 1, Version: 1, PathLen: 1, ReturnAddress: hostAddress(200)}
+	h.Path[0] = flow.Hop{Address: hostAddress(host), RoleVersion: 1}
+	return h
+}
+
+// Guards against more work than slots, and against work that waits past its deadline.
+func TestQueueRespectsSlotsAndDeadline(t *testing.T) {
+	is := is.New(t)
+	service := &controlpb.Service{Id: 1, Idempotent: true, QueueDeadlineMs: 100}
+	o := newOwner(t, Config{Self: hostAddress(1), Slots: 1, AnswersSeen: true}, testSpec(service, 1, []int{1}))
+	effectOf[*Deliver](t, o.HandlePacket(epoch, headerTo(1), tcpPacket(1, 1, true), nil))
+	is.Equal(len(o.HandlePacket(epoch, headerTo(1), tcpPacket(2, 1, true), nil)), 0)
+	is.Equal(len(o.HandlePacket(epoch, headerTo(1), tcpPacket(3, 1, true), nil)), 0)
+	is.Equal(o.Load(epoch).GetQueued(), uint32(2))
+
+	first := tcpPacket(1, 1, true).Key
+	next := effectOf[*Deliver](t, o.HandleEvent(epoch, AnswerSeen{Key: first}, nil))
+	is.Equal(next.Key, tcpPacket(2, 1, true).Key)
+
+	late := epoch.Add(101 * time.Millisecond)
+	is.Equal(effectOf[*Refuse](t, o.HandleEvent(late, Tick{}, nil)).Reason, flow.ReasonFull)
+	effectOf[*Refuse](t, o.HandlePacket(late, headerTo(1), tcpPacket(3, 1, true), nil)) // a late copy
+	is.Equal(o.Load(late).GetBusy(), uint32(1))
+}
+
+// Guards against new work on an agent that knows that it is draining.
+func TestDrainingAgentOffersItsQueue(t *testing.T) {
+	is := is.New(t)
+	service := &controlpb.Service{Id: 1, Idempotent: true, QueueDeadlineMs: 100}
+	o := newOwner(t, Config{Self: hostAddress(1), Slots: 1, AnswersSeen: true}, testSpec(service, 1, []int{1, 2}))
+	o.HandleEvent(epoch, PeerConnected{Peer: hostAddress(2)}, nil)
+	effectOf[*Deliver](t, o.HandlePacket(epoch, headerTo(1), tcpPacket(1, 1, true), nil))
+	offer := effectOf[*Pass](t, o.HandlePacket(epoch, headerTo(1), tcpPacket(2, 1, true), nil))
+	is.Equal(offer.Header.Stage, flow.StageOffer)
+	final := headerTo(1)
+	final.Stage = flow.StageFinal
+	is.Equal(len(o.HandlePacket(epoch, final, tcpPacket(2, 1, true), nil)), 0) // queued
+
+	offer = effectOf[*Pass](t, o.HandleEvent(epoch, DrainChanged{Drain: true}, nil))
+	is.Equal(offer.To, hostAddress(2))
+	is.Equal(offer.Header.OfferLoad, uint32(drainingLoad))
+	effectOf[*Deliver](t, o.HandlePacket(epoch, headerTo(1), tcpPacket(1, 2, false), nil)) // goes on
+}
+
+// Guards against non-idempotent work that runs before its witnesses know of it, and
+// against a false refusal when a witness knows the flow.
+func TestWitnessesConfirmBeforeDelivery(t *testing.T) {
+	is := is.New(t)
+	service := &controlpb.Service{Id: 1}
+	o := newOwner(t, Config{Self: hostAddress(1)}, testSpec(service, 1, []int{1, 2, 3}))
+	for _, peer := range []int{2, 3} {
+		o.HandleEvent(epoch, PeerConnected{Peer: hostAddress(peer)}, nil)
+	}
+	asked := o.HandlePacket(epoch, headerTo(1), tcpPacket(1, 1, true), nil)
+	is.Equal(len(asked), 2)
+	for i, effect := range asked {
+		report := effect.(*Report)
+		is.Equal(report.Report.GetVersion(), uint64(0))
+		effects := o.HandleEvent(epoch, ReportAcked{Peer: report.To, Sequence: report.Report.GetSequence()}, nil)
+		delivered := false
+		for _, e := range effects {
+			_, ok := e.(*Deliver)
+			delivered = delivered || ok
+		}
+		is.Equal(delivered, i == 1)
+	}
+
+	o.HandlePacket(epoch, headerTo(1), tcpPacket(2, 1, true), nil)
+	late := epoch.Add(witnessDeadline)
+	is.Equal(effectOf[*Refuse](t, o.HandleEvent(late, Tick{}, nil)).Reason, flow.ReasonNoWitness)
+}
+
+// Guards against a flow map that grows without bound under a flood of first packets.
+func TestFlowMapIsBounded(t *testing.T) {
+	is := is.New(t)
+	service := &controlpb.Service{Id: 1, Idempotent: true}
+	o := newOwner(t, Config{Self: hostAddress(1), MaxFlows: 1000, Connections: 100_000}, testSpec(service, 1, []int{1}))
+	for port := range uint16(20_000) {
+		o.HandlePacket(epoch, headerTo(1), tcpPacket(port, 1, true), nil)
+	}
+	entries := 0
+	for i := range o.flows.shards {
+		entries += o.flows.shards[i].used
+	}
+	is.True(entries <= 1000+shardCount)
+	is.Equal(int(o.Load(epoch).GetOpenFlows()), entries)
+}
+
+// Guards against data races and deadlocks between workers, with the race detector.
+func TestWorkersShareAnOwner(t *testing.T) {
+	service := &controlpb.Service{Id: 1, QueueDeadlineMs: 50}
+	o := newOwner(t, Config{Self: hostAddress(1), Slots: 4, AnswersSeen: true}, testSpec(service, 1, []int{1, 2}))
+	o.HandleEvent(epoch, PeerConnected{Peer: hostAddress(2)}, nil)
+	var workers sync.WaitGroup
+	for worker := range 4 {
+		workers.Go(func() {
+			for i := range 2000 {
+				now := epoch.Add(time.Duration(i) * time.Millisecond)
+				p := tcpPacket(uint16(i%300), byte(i%5), i%3 == 0)
+				for _, e := range o.HandlePacket(now, headerTo(1), p, nil) {
+					if r, ok := e.(*Report); ok {
+						o.HandleEvent(now, ReportAcked{Peer: r.To, Sequence: r.Report.GetSequence()}, nil)
+					}
+				}
+				o.HandleEvent(now, AnswerSeen{Key: p.Key}, nil)
+				if i%50 == worker {
+					o.HandleEvent(now, Tick{}, nil)
+					o.HandleEvent(now, DrainChanged{Drain: i%100 == worker}, nil)
+					o.HandleEvent(now, SpecReceived{Spec: testSpec(service, uint64(2+i/50), []int{1, 2})}, nil)
+				}
+			}
+		})
+	}
+	workers.Wait()
+	if busy := o.Load(epoch.Add(3 * time.Second)).GetBusy(); busy > 4 {
+		t.Errorf("%d slots are busy", busy)
+	}
+}
