--- a/internal/platform/shard/holder.go
+++ b/internal/platform/shard/holder.go
@@ -20,8 +20,8 @@
 	// stall is the gap between two ticks that is taken for a pause.
 	stall = 2 * time.Second
 	// attachmentGrace is how long the agents of a disconnected balancer count as
-	// attached to it.
-	attachmentGrace = 10 * time.Second
+	// attached to it. A balancer dials again within a second and resends them.
+	attachmentGrace = 4 * time.Second
 	// maxSamples bounds the samples that one Beat stands for.
 	maxSamples = 16
 	// maxEarlyReports bounds the reports kept for services that the configuration
--- a/internal/platform/shard/holder_test.go
+++ b/internal/platform/shard/holder_test.go
@@ -75,6 +75,13 @@
 	}}})
 }
 
+// attachAt connects a balancer that reports one host.
+func (r *rig) attachAt(balancer, host string) {
+	r.do(BalancerConnected{balancer, 1}, Reported{balancer, &controlpb.MemberReport{Service: "s1", Member: &controlpb.Member{
+		Host: host, Address: "127.0.0.1:1" + host[1:], Incarnation: 1, Weight: 1000,
+	}}})
+}
+
 func (r *rig) lose(host string) {
 	r.do(Suspected{"b0", &controlpb.Suspect{ServiceId: 1, Host: host, Suspected: true, Incarnation: 9}})
 }
