owner: Compare offers by expected wait

Cause: load was work over slots, so a flow that found both choices full often queued at the slower one.

--- a/internal/core/flow/header.go
+++ b/internal/core/flow/header.go
@@ -61,7 +61,8 @@
 	Asserted bool
 	// ReturnAddress is the data address of the balancer.
 	ReturnAddress netip.AddrPort
-	// OfferLoad is the load of the offering agent in thousandths of its slots.
+	// OfferLoad is the load of the offering agent: work in progress and queued,
+	// with this flow, in thousandths of its effective weight.
 	OfferLoad uint32
 }
 
--- a/internal/core/owner/admission.go
+++ b/internal/core/owner/admission.go
@@ -10,6 +10,7 @@
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
+	"agateramp/internal/core/table"
 )
 
 const (
@@ -65,6 +66,9 @@
 	// the agent is about to stop.
 	draining, ordered, excluded, stopping bool
 
+	// weight is the effective weight in thousandths, 0 while no table lists the host.
+	weight uint32
+
 	busy, open int
 	queue      []*waiting
 	pending    []*waiting
@@ -315,12 +319,16 @@
 	return a.updateDraining()
 }
 
-// exclude starts or ends draining by the table, which leaves out a host that
-// drains, and returns the packets that were queued.
-func (a *admission) exclude(on bool) (queued []*waiting) {
+// listed takes the host's entry in a new table, or nil if there is none. A host
+// that is not active there drains. It returns the packets that were queued then.
+func (a *admission) listed(m *table.Member) (queued []*waiting) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.excluded = on
+	a.weight = 0
+	if m != nil {
+		a.weight = m.Weight
+	}
+	a.excluded = m == nil || !m.Active()
 	return a.updateDraining()
 }
 
@@ -346,15 +354,18 @@
 	return a.draining
 }
 
-// load returns the load in thousandths of the limit, queued work included.
+// load returns the work in progress and in the queue, with the flow to place, in
+// thousandths of the effective weight of the host. It is a measure of the wait
+// that the flow would have. Work over slots alone would queue flows at slow hosts.
 func (a *admission) load() uint32 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.draining {
+	if a.draining || a.weight == 0 {
 		return drainingLoad
 	}
-	used, limit := a.used()
-	return uint32((used + len(a.queue)) * thousand / limit)
+	used, _ := a.used()
+	work := uint64(used + len(a.queue) + 1)
+	return uint32(min(work*thousand*thousand/uint64(a.weight), drainingLoad-1))
 }
 
 // heartbeat returns the present load and starts a new period of the busy share.
--- a/internal/core/owner/events.go
+++ b/internal/core/owner/events.go
@@ -44,7 +44,7 @@
 		c.rereport(old.table)
 	}
 	m := v.table.Member(o.self)
-	c.offerQueued(o.admission.exclude(m == nil || !m.Active()))
+	c.offerQueued(o.admission.listed(m))
 	c.offerPending()
 	c.emit(&Acknowledge{Version: v.table.Version()})
 	return old == nil
