log: Name every event in one way

Cause: half of the log lines had an event name, half a free text, so that an operator could not list or match them.

--- a/internal/cli/commands/config_test.go
+++ b/internal/cli/commands/config_test.go
@@ -40,7 +40,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return strings.TrimSpace(strings.TrimPrefix(string(line[:n]), "store stand-in on "))
+	address, _, _ = strings.Cut(strings.TrimPrefix(string(line[:n]), "store at "), ",")
+	return address
 }
 
 // register writes the key of a balancer that reports a version in force.
--- a/internal/cli/commands/dev_store.go
+++ b/internal/cli/commands/dev_store.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err = fmt.Fprintf(env.stdout, "store stand-in on %s\n", listener.Addr()); err != nil {
+	if _, err = fmt.Fprintf(env.stdout, "store at %s, faults at http://%s/faults\n", listener.Addr(), listener.Addr()); err != nil {
 		return err
 	}
 	return server.Serve(ctx, listener)
--- a/internal/control/agents/specs.go
+++ b/internal/control/agents/specs.go
@@ -85,7 +85,7 @@
 	}
 	stored, err := shard.ParseTable(&e.Entry)
 	if err != nil {
-		_ = level.Error(s.config.Logger).Log("msg", "table spec not readable", "err", err)
+		_ = level.Error(s.config.Logger).Log("event", "table_spec_unreadable", "err", err)
 		return
 	}
 	s.learn(stored.Spec)
@@ -108,7 +108,7 @@
 		return
 	}
 	if _, err := s.config.Tables.Update(spec); err != nil {
-		_ = level.Error(s.config.Logger).Log("msg", "table spec refused", "service", id, "version", shard.Newest(spec), "err", err)
+		_ = level.Error(s.config.Logger).Log("event", "table_spec_refused", "service", id, "version", shard.Newest(spec), "err", err)
 		return
 	}
 	s.specs[id] = spec
--- a/internal/control/agents/uplink.go
+++ b/internal/control/agents/uplink.go
@@ -82,7 +82,7 @@
 	u := &uplink{service: s, address: address}
 	d, err := peer.Dial(s.dialConfig(address, u))
 	if err != nil {
-		_ = level.Error(s.config.Logger).Log("msg", "shard holder not dialled", "address", address, "err", err)
+		_ = level.Error(s.config.Logger).Log("event", "shard_holder_not_dialled", "address", address, "err", err)
 		return
 	}
 	u.dialer = d
@@ -289,7 +289,7 @@
 		}
 		d, err := peer.Dial(s.dialConfig(address, (*seed)(s)))
 		if err != nil {
-			_ = level.Warn(s.config.Logger).Log("msg", "balancer not asked for specs", "address", address, "err", err)
+			_ = level.Warn(s.config.Logger).Log("event", "seed_not_dialled", "address", address, "err", err)
 			continue
 		}
 		s.seeds = append(s.seeds, d)
--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -133,7 +133,7 @@
 			Logger: s.config.Logger, Metrics: s.config.Metrics,
 		})
 		if err != nil {
-			_ = level.Error(s.config.Logger).Log("msg", "peer not dialled", "peer", address, "err", err)
+			_ = level.Error(s.config.Logger).Log("event", "peer_not_dialled", "peer", address, "err", err)
 			return
 		}
 		p.dialer = d
--- a/internal/control/peer/dialer.go
+++ b/internal/control/peer/dialer.go
@@ -60,7 +60,7 @@
 				backoff = minBackoff
 			}
 		} else if ctx.Err() == nil {
-			_ = level.Debug(d.config.Logger).Log("msg", "control stream not opened", "err", err)
+			_ = level.Debug(d.config.Logger).Log("event", "control_stream_not_opened", "err", err)
 		}
 		// Half of the wait is random, so that streams cut together do not return together.
 		wait := backoff/2 + rand.N(backoff)
--- a/internal/control/peer/peer.go
+++ b/internal/control/peer/peer.go
@@ -164,9 +164,9 @@
 // yamuxLogger passes the log lines of yamux on at debug level.
 type yamuxLogger struct{ logger log.Logger }
 
-func (l yamuxLogger) Print(v ...any) { _ = level.Debug(l.logger).Log("msg", "yamux", "detail", v) }
+func (l yamuxLogger) Print(v ...any) { _ = level.Debug(l.logger).Log("event", "yamux", "detail", v) }
 func (l yamuxLogger) Printf(format string, v ...any) {
-	_ = level.Debug(l.logger).Log("msg", "yamux", "detail", errors.Errorf(format, v...).Error())
+	_ = level.Debug(l.logger).Log("event", "yamux", "detail", errors.Errorf(format, v...).Error())
 }
 func (l yamuxLogger) Println(v ...any) { l.Print(v...) }
 
--- a/internal/control/peer/run.go
+++ b/internal/control/peer/run.go
@@ -162,7 +162,7 @@
 	if cause := tasks.Wait(); cause != nil {
 		err = cause
 	}
-	_ = level.Debug(c.Logger).Log("msg", "control stream ended", "peer", p.hello.GetName(), "remote", p.remote, "err", err)
+	_ = level.Debug(c.Logger).Log("event", "control_stream_ended", "peer", p.hello.GetName(), "remote", p.remote, "err", err)
 	c.Handler.Disconnected(p)
 }
 
--- a/internal/control/peer/server.go
+++ b/internal/control/peer/server.go
@@ -61,7 +61,7 @@
 			return nil
 		}
 		if err != nil {
-			_ = level.Warn(s.config.Logger).Log("msg", "accept control stream", "err", err)
+			_ = level.Warn(s.config.Logger).Log("event", "control_stream_accept_failed", "err", err)
 			select {
 			case <-ctx.Done():
 			case <-time.After(acceptPause):
@@ -71,7 +71,7 @@
 		s.config.tasks.Go("stream", func(ctx context.Context) error {
 			p, err := s.config.open(conn, false)
 			if err != nil {
-				_ = level.Info(s.config.Logger).Log("msg", "control stream refused", "err", err)
+				_ = level.Info(s.config.Logger).Log("event", "control_stream_refused", "err", err)
 				return nil
 			}
 			s.config.serve(ctx, p)
--- a/internal/platform/shard/elect.go
+++ b/internal/platform/shard/elect.go
@@ -79,7 +79,7 @@
 	}
 	var record HolderRecord
 	if err := json.Unmarshal(e.Entry.Value, &record); err != nil {
-		_ = level.Warn(r.config.Logger).Log("msg", "holder record not readable", "shard", shard, "err", err)
+		_ = level.Warn(r.config.Logger).Log("event", "holder_record_unreadable", "shard", shard, "err", err)
 		return
 	}
 	if h != nil && e.Entry.CreateRevision > h.holder.Fence() {
@@ -129,7 +129,7 @@
 		}
 		c, err := r.take(ctx, shard)
 		if err != nil && ctx.Err() == nil {
-			_ = level.Info(r.config.Logger).Log("msg", "shard not taken", "shard", shard, "err", err)
+			_ = level.Info(r.config.Logger).Log("event", "shard_not_taken", "shard", shard, "err", err)
 		}
 		r.post(func(now time.Time) {
 			delete(r.taking, shard)
@@ -216,7 +216,7 @@
 	c.Now, c.Settings = now, r.settings
 	holder, err := NewHolder(c)
 	if err != nil {
-		_ = level.Error(r.config.Logger).Log("msg", "shard not held", "shard", c.Shard, "err", err)
+		_ = level.Error(r.config.Logger).Log("event", "shard_not_held", "shard", c.Shard, "err", err)
 		return
 	}
 	h := &held{holder: holder}
@@ -225,7 +225,7 @@
 	r.heldCount.Store(int64(len(r.held)))
 	r.holders[c.Shard] = HolderInfo{HolderRecord{r.config.Name, r.config.ControlAddress}, c.Fence}
 	r.signal()
-	_ = level.Info(r.config.Logger).Log("msg", "shard taken", "shard", c.Shard, "fence", c.Fence)
+	_ = level.Info(r.config.Logger).Log("event", "shard_taken", "shard", c.Shard, "fence", c.Fence)
 	for name, incarnation := range r.streams {
 		r.handle(now, c.Shard, h, BalancerConnected{name, incarnation})
 	}
--- a/internal/platform/shard/lease.go
+++ b/internal/platform/shard/lease.go
@@ -197,7 +197,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		_ = level.Info(logger).Log("msg", "store watch ended", "prefix", prefix, "err", err)
+		_ = level.Info(logger).Log("event", "store_watch_ended", "prefix", prefix, "err", err)
 		if time.Since(opened) > 2*callTimeout {
 			wait = minRetry
 		}
--- a/internal/platform/shard/register.go
+++ b/internal/platform/shard/register.go
@@ -86,7 +86,7 @@
 	for ctx.Err() == nil {
 		if !written {
 			if err := r.put(ctx, record); err != nil {
-				_ = level.Info(r.config.Logger).Log("msg", "balancer not registered", "err", err)
+				_ = level.Info(r.config.Logger).Log("event", "balancer_not_registered", "err", err)
 				pause(ctx, retry)
 				retry = min(2*retry, maxRegisterRetry)
 				continue
--- a/internal/platform/shard/runner.go
+++ b/internal/platform/shard/runner.go
@@ -193,14 +193,14 @@
 		case *Tell:
 			r.config.Send(effect.Balancer, &controlpb.Frame{Body: &controlpb.Frame_Suspect{Suspect: effect.Suspect}})
 		case *Ejected:
-			_ = level.Warn(r.config.Logger).Log("msg", "host left out", "service", effect.ServiceID, "host", effect.Host)
+			_ = level.Warn(r.config.Logger).Log("event", "host_left_out", "service", effect.ServiceID, "host", effect.Host)
 			r.config.Observe(effect)
 		case *Kept:
 			_ = level.Warn(r.config.Logger).Log("msg", "most hosts lost at once, list kept", "service", effect.ServiceID,
 				"lost", effect.Lost, "members", effect.Total)
 			r.config.Observe(effect)
 		case *Blocked:
-			_ = level.Warn(r.config.Logger).Log("msg", "no new table version until acknowledged", "service", effect.ServiceID,
+			_ = level.Warn(r.config.Logger).Log("event", "publication_waits", "service", effect.ServiceID,
 				"version", effect.Version, "waiting", len(effect.Waiting), "first", effect.Waiting[0])
 			r.config.Observe(effect)
 		}
@@ -239,7 +239,7 @@
 	h.stop()
 	r.heldCount.Store(int64(len(r.held)))
 	r.signal()
-	_ = level.Info(r.config.Logger).Log("msg", "shard given up", "shard", shard, "reason", reason)
+	_ = level.Info(r.config.Logger).Log("event", "shard_given_up", "shard", shard, "reason", reason)
 }
 
 // signal wakes the tasks that run only while shards are held.
--- a/internal/role/agent/datapath.go
+++ b/internal/role/agent/datapath.go
@@ -28,6 +28,8 @@
 type dataPathConfig struct {
 	// settings are the checked settings of the process. It must be set.
 	settings *settings.Agent
+	// incarnation is the one that this process announces. It must be set.
+	incarnation uint64
 	// peers reaches other processes. It must be set.
 	peers peers
 	// logger takes log lines. It must be set.
@@ -56,7 +58,7 @@
 	backend := c.settings.Backend
 	d.owner, err = owner.New(owner.Config{
 		Self: d.port.Address(), Slots: backend.Slots, Connections: backend.Connections,
-		AnswersSeen: backend.Mode == settings.ModeDatagram, Started: time.Now(),
+		AnswersSeen: backend.Mode == settings.ModeDatagram, Started: time.Now(), Incarnation: c.incarnation,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/role/agent/role.go
+++ b/internal/role/agent/role.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	a.dispatcher, err = newDispatcher(dataPathConfig{
-		settings: c.Settings, peers: a, logger: c.Logger, metrics: c.Metrics, group: c.Group,
+		settings: c.Settings, incarnation: a.incarnation, peers: a, logger: c.Logger, metrics: c.Metrics, group: c.Group,
 	})
 	if err != nil {
 		return nil, err
