--- a/internal/control/peer/peer.go
+++ b/internal/control/peer/peer.go
@@ -165,6 +165,7 @@
 type yamuxLogger struct{ logger log.Logger }
 
 func (l yamuxLogger) Print(v ...any) { _ = level.Debug(l.logger).Log("event", "yamux", "detail", v) }
+
 func (l yamuxLogger) Printf(format string, v ...any) {
 	_ = level.Debug(l.logger).Log("event", "yamux", "detail", errors.Errorf(format, v...).Error())
 }
--- a/internal/platform/shard/runner.go
+++ b/internal/platform/shard/runner.go
@@ -196,7 +196,7 @@
 			_ = level.Warn(r.config.Logger).Log("event", "host_left_out", "service", effect.ServiceID, "host", effect.Host)
 			r.config.Observe(effect)
 		case *Kept:
-			_ = level.Warn(r.config.Logger).Log("msg", "most hosts lost at once, list kept", "service", effect.ServiceID,
+			_ = level.Warn(r.config.Logger).Log("event", "most_hosts_lost", "service", effect.ServiceID,
 				"lost", effect.Lost, "members", effect.Total)
 			r.config.Observe(effect)
 		case *Blocked:
