--- /dev/null
+++ b/internal/cli/commands/reference_test.go
@@ -0,0 +1,88 @@
+package commands
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const repository = "../../.."
+
+var (
+	eventPattern  = regexp.MustCompile(`"event", "([a-z_]+)"|\.log\("([a-z_]+)"|\.warn\("([a-z_]+)"|Warn\(time\.Now\(\), "([a-z_]+)"`)
+	metricPattern = regexp.MustCompile(`(?:Counter|Gauge|GetOrRegisterCounter)\("([a-z._]+)"`)
+	reasonPattern = regexp.MustCompile(`Reason\w+ +Reason = "([a-z_]+)"`)
+)
+
+// namesIn returns what the pattern captures in all code of the product.
+func namesIn(t *testing.T, pattern *regexp.Regexp) map[string]bool {
+	t.Helper()
+	names := make(map[string]bool)
+	err := filepath.WalkDir(filepath.Join(repository, "internal"), func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, match := range pattern.FindAllStringSubmatch(string(text), -1) {
+			names[strings.Join(match[1:], "")] = true
+		}
+		return err
+	})
+	is.New(t).NoErr(err)
+	return names
+}
+
+// Guards against metrics, reasons and events that operators cannot look up, and
+// against a page that lists what no longer exists.
+func TestReferenceListsEveryName(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(repository, "docs", "metrics-and-logs.md"))
+	is.New(t).NoErr(err)
+	tests := []struct {
+		section string
+		pattern *regexp.Regexp
+	}{
+		{"Metrics", metricPattern},
+		{"Reasons", reasonPattern},
+		{"Events", eventPattern},
+	}
+	for _, test := range tests {
+		t.Run(test.section, func(t *testing.T) {
+			is := is.New(t)
+			listed := listedIn(string(page), test.section)
+			for name := range namesIn(t, test.pattern) {
+				if !listed[name] && name != "packets." {
+					t.Errorf("%q is not listed under %s", name, test.section)
+				}
+				delete(listed, name)
+			}
+			for name := range listed {
+				if !strings.HasSuffix(name, ".REASON") {
+					t.Errorf("%q is listed under %s and not in the code", name, test.section)
+				}
+			}
+			is.True(len(namesIn(t, test.pattern)) > 0)
+		})
+	}
+}
+
+// listedIn returns the names in the first column of the table of a section.
+func listedIn(page, section string) map[string]bool {
+	_, text, _ := strings.Cut(page, "\n## "+section+"\n")
+	text, _, _ = strings.Cut(text, "\n## ")
+	names := make(map[string]bool)
+	for _, line := range strings.Split(text, "\n") {
+		cells := strings.Split(line, "|")
+		if len(cells) < 2 {
+			continue
+		}
+		for _, name := range regexp.MustCompile("`([^`]+)`").FindAllStringSubmatch(cells[1], -1) {
+			names[name[1]] = true
+		}
+	}
+	return names
+}
