agent: Keep drains of operators and the ports of adopted flows

(1) A balancer that restarted while the store was down sent an agent what its old spec says, drain=false without a change id, which ended the drain of an operator 0.4 s after it began. (2) A restarted agent adopted a flow from an asserted packet before its peers had reported the flow's local port; the backend server saw a new peer and ran the retransmitted request again. Change: an order that follows from a spec does not end a drain with a change id until a spec has shown that drain; asserted packets carry the local port of the directory entry, and the adopting agent binds it.

--- a/internal/core/flow/header.go
+++ b/internal/core/flow/header.go
@@ -59,6 +59,9 @@
 	Hinted bool
 	// Asserted is set when a directory entry names the receiver as the owner.
 	Asserted bool
+	// LocalPort is the local port of the flow at an asserted owner, or 0. An owner
+	// that restarted needs it before its peers have reported.
+	LocalPort uint16
 	// ReturnAddress is the data address of the balancer.
 	ReturnAddress netip.AddrPort
 	// OfferLoad is the load of the offering agent: work in progress and queued,
--- a/internal/core/owner/packet.go
+++ b/internal/core/owner/packet.go
@@ -165,10 +165,19 @@
 	}
 	out := *h
 	out.Hinted = false
-	out.Asserted = e.state == stateRemote && !e.has(flagOver|flagRefused)
+	c.assert(&out, e, e.state == stateRemote)
 	c.pass(&out, p, host)
 }
 
+// assert says in a header whether a directory entry names the receiver as the
+// owner, and on which local port.
+func (c *call) assert(h *flow.Header, e *entry, named bool) {
+	h.Asserted, h.LocalPort = named && !e.has(flagOver|flagRefused), 0
+	if h.Asserted {
+		h.LocalPort = e.port
+	}
+}
+
 // overrides reports whether a first packet decides anew despite an entry that
 // names another host.
 func (c *call) overrides(e *entry, h *flow.Header, token uint32) bool {
@@ -204,7 +213,7 @@
 			return
 		}
 		// The owner of the last flow on this key decides on the next one.
-		out.Asserted = token == e.tokens[0] && !e.has(flagOver|flagRefused)
+		c.assert(&out, e, token == e.tokens[0])
 		if !out.Asserted {
 			out.Stage = flow.StageGrant
 		}
@@ -304,7 +313,7 @@
 		return
 	}
 	e := s.insert(p.Hash, p.Key)
-	e.state = stateOwned
+	e.state, e.port = stateOwned, h.LocalPort
 	c.owner.admission.adopt(c.now, false)
 	c.touch(e, p)
 	c.deliver(e, h, p)
--- a/internal/packet/geneve/header.go
+++ b/internal/packet/geneve/header.go
@@ -25,6 +25,7 @@
 	fieldReturnAddress  = 11
 	fieldOfferLoad      = 12
 	fieldAsserted       = 13
+	fieldLocalPort      = 14
 
 	fieldHopAddress     = 1
 	fieldHopRoleVersion = 2
@@ -129,7 +130,8 @@
 	dst = appendBool(dst, fieldHinted, h.Hinted)
 	dst = appendAddressField(dst, fieldReturnAddress, h.ReturnAddress)
 	dst = appendVarint(dst, fieldOfferLoad, uint64(h.OfferLoad))
-	return appendBool(dst, fieldAsserted, h.Asserted), nil
+	dst = appendBool(dst, fieldAsserted, h.Asserted)
+	return appendVarint(dst, fieldLocalPort, uint64(h.LocalPort)), nil
 }
 
 // field is one decoded field; number is set for varint fields, data for bytes.
@@ -230,6 +232,8 @@
 		h.OfferLoad, limit = uint32(value), 1<<32-1
 	case fieldAsserted:
 		h.Asserted = value != 0
+	case fieldLocalPort:
+		h.LocalPort, limit = uint16(value), 1<<16-1
 	}
 	if value > limit {
 		return errHeaderValue
--- a/internal/role/agent/role.go
+++ b/internal/role/agent/role.go
@@ -28,6 +28,8 @@
 	defaultDrainTime = 30 * time.Second
 	// handOverTime bounds the wait for peers to confirm the directory at a stop.
 	handOverTime = 2 * time.Second
+	// ownChange is the change id of a drain that the agent began by itself.
+	ownChange = "planned-stop"
 	// pollInterval is how often a stopping agent looks at its open flows.
 	pollInterval = 50 * time.Millisecond
 )
@@ -56,6 +58,9 @@
 	certs       *certificates.Certificates
 	spec        atomic.Pointer[controlpb.TableSpec]
 	draining    atomic.Bool
+	// manual is set while a drain ordered by an operator, and not yet shown by a
+	// table spec, is in force.
+	manual atomic.Bool
 	// connected is closed once balancers and directory are set; their streams may
 	// bring frames before that.
 	connected chan struct{}
@@ -166,13 +171,41 @@
 
 // update takes a table spec into use.
 func (a *Agent) update(spec *controlpb.TableSpec) {
-	a.spec.Store(spec)
+	a.noteSpec(spec)
 	a.directory.SetTable(spec)
 	a.dispatcher.update(spec)
 }
 
-// orderDrain starts or ends draining; a repeated order has no effect.
+// noteSpec keeps a spec. Once it shows the drain of an operator, the
+// configuration says when the drain ends.
+func (a *Agent) noteSpec(spec *controlpb.TableSpec) {
+	a.spec.Store(spec)
+	if a.drainsIn(spec) {
+		a.manual.Store(false)
+	}
+}
+
+// drainsIn reports whether the newest version of a spec lists this host as draining.
+func (a *Agent) drainsIn(spec *controlpb.TableSpec) bool {
+	for _, m := range spec.GetVersions()[0].GetMembers() {
+		if m.GetHost() == a.settings.Name {
+			return m.GetDraining()
+		}
+	}
+	return false
+}
+
+// orderDrain starts or ends draining; a repeated order has no effect. An order
+// without a change id follows from a table spec. It does not end the drain of an
+// operator: a balancer that restarted during an outage of the store does not know
+// of that drain, and orders what its old spec says.
 func (a *Agent) orderDrain(drain bool, changeID string) {
+	if changeID == "" && !drain && a.manual.Load() {
+		return
+	}
+	if changeID != "" {
+		a.manual.Store(drain)
+	}
 	if a.draining.Swap(drain) == drain {
 		return
 	}
@@ -254,7 +287,7 @@
 // over the directory. The caller stops the group then.
 func (a *Agent) Leave(ctx context.Context) {
 	a.log("leaving")
-	a.orderDrain(true, "")
+	a.orderDrain(true, ownChange)
 	a.balancers.SetDraining(true)
 	deadline := time.Now().Add(a.drainTime())
 	a.wait(ctx, deadline, func() bool { return a.load().GetOpenFlows() == 0 })
@@ -352,6 +385,6 @@
 
 // StartDrain has the host take no new flows, as by an order of an operator.
 func (a *Agent) StartDrain() {
-	a.orderDrain(true, "")
+	a.orderDrain(true, ownChange)
 	a.balancers.SetDraining(true)
 }
