core, control, platform: Store no durations in fields

Cause: the house style stores deadlines; six fields held durations. Change: settings are kept in the milliseconds or seconds in which they come, with methods that give durations; the wait between pushes follows from their count.

--- a/internal/control/peer/run.go
+++ b/internal/control/peer/run.go
@@ -18,18 +18,22 @@
 
 // keepalive gives the times of the liveness check of a stream.
 type keepalive struct {
-	// interval lies between two pings of the dialling side.
-	interval time.Duration
-	// silence without a received byte ends the stream.
-	silence time.Duration
+	// intervalMS lies between two pings of the dialling side, in milliseconds.
+	intervalMS int
+	// silenceMS without a received byte ends the stream.
+	silenceMS int
 }
 
+func (k keepalive) interval() time.Duration { return time.Duration(k.intervalMS) * time.Millisecond }
+
+func (k keepalive) silence() time.Duration { return time.Duration(k.silenceMS) * time.Millisecond }
+
 var (
 	// fastKeepalive finds a frozen or cut peer within 2 s.
-	fastKeepalive = keepalive{interval: 600 * time.Millisecond, silence: 1700 * time.Millisecond}
+	fastKeepalive = keepalive{intervalMS: 600, silenceMS: 1700}
 	// slowKeepalive is used between balancers. A shard holder has a stream from
 	// each of 720 balancers, and pings every 600 ms would take 29 KB/s of its 9.
-	slowKeepalive = keepalive{interval: 5 * time.Second, silence: 12 * time.Second}
+	slowKeepalive = keepalive{intervalMS: 5000, silenceMS: 12_000}
 )
 
 func keepaliveOf(a, b *controlpb.Hello) keepalive {
@@ -43,7 +47,7 @@
 	y := yamux.DefaultConfig()
 	y.EnableKeepAlive = false
 	y.AcceptBacklog = 1
-	y.ConnectionWriteTimeout = 2 * fastKeepalive.interval
+	y.ConnectionWriteTimeout = 2 * fastKeepalive.interval()
 	y.StreamOpenTimeout = handshakeTimeout
 	y.StreamCloseTimeout = time.Second
 	y.LogOutput = nil
@@ -199,7 +203,7 @@
 
 // watch ends the stream when nothing was received for too long.
 func (p *Peer) watch(ctx context.Context, k keepalive) error {
-	check := time.NewTicker(k.interval / 4)
+	check := time.NewTicker(k.interval() / 4)
 	defer check.Stop()
 	last, at := p.conn.received.Load(), time.Now()
 	for {
@@ -211,7 +215,7 @@
 		case now := <-check.C:
 			if n := p.conn.received.Load(); n != last {
 				last, at = n, now
-			} else if now.Sub(at) > k.silence {
+			} else if now.Sub(at) > k.silence() {
 				return errors.Errorf("no sign of life from %s since %s", p.remote, at.Format(time.RFC3339Nano))
 			}
 		}
@@ -221,7 +225,7 @@
 // ping runs on the dialling side. A late answer does not end the stream; that
 // is left to watch, which takes other bytes as signs of life too.
 func (p *Peer) ping(ctx context.Context, k keepalive) error {
-	tick := time.NewTicker(k.interval)
+	tick := time.NewTicker(k.interval())
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/core/owner/events.go
+++ b/internal/core/owner/events.go
@@ -132,7 +132,7 @@
 	}
 	if !e.has(flagEstablished) {
 		e.flags |= flagEstablished
-		e.expires = nanoseconds(c.now, c.view.idle)
+		e.expires = nanoseconds(c.now, c.view.idle())
 	}
 	if e.has(flagBusy) {
 		e.flags &^= flagBusy
--- a/internal/core/owner/first.go
+++ b/internal/core/owner/first.go
@@ -28,12 +28,25 @@
 	idempotent bool
 	mode       controlpb.FirstPacket
 	prefix     []byte
-	idle       time.Duration
+	// idleMS is how long a flow may be silent, in milliseconds.
+	idleMS uint32
 	// settles is when resets of unknown flows begin, in nanoseconds since 1970.
-	settles       int64
-	queueDeadline time.Duration
+	settles int64
+	// queueMS is how long a flow may wait for a slot, in milliseconds.
+	queueMS uint32
 }
 
+// idle is how long a flow may be silent.
+func (v *view) idle() time.Duration {
+	if v.idleMS == 0 {
+		return defaultIdle
+	}
+	return time.Duration(v.idleMS) * time.Millisecond
+}
+
+// queueDeadline is how long a flow may wait for a slot; 0 means not at all.
+func (v *view) queueDeadline() time.Duration { return time.Duration(v.queueMS) * time.Millisecond }
+
 func newView(spec *controlpb.TableSpec) (v *view, err error) {
 	t, err := table.Build(spec)
 	if err != nil {
@@ -41,15 +54,12 @@
 	}
 	s := t.Service()
 	v = &view{
-		table:         t,
-		idempotent:    s.GetIdempotent(),
-		mode:          s.GetFirstPacket(),
-		prefix:        s.GetFirstPacketPrefix(),
-		idle:          time.Duration(s.GetIdleTimeoutMs()) * time.Millisecond,
-		queueDeadline: time.Duration(s.GetQueueDeadlineMs()) * time.Millisecond,
-	}
-	if v.idle == 0 {
-		v.idle = defaultIdle
+		table:      t,
+		idempotent: s.GetIdempotent(),
+		mode:       s.GetFirstPacket(),
+		prefix:     s.GetFirstPacketPrefix(),
+		idleMS:     s.GetIdleTimeoutMs(),
+		queueMS:    s.GetQueueDeadlineMs(),
 	}
 	for _, version := range spec.GetVersions() {
 		one, err := table.Build(&controlpb.TableSpec{
--- a/internal/core/owner/packet.go
+++ b/internal/core/owner/packet.go
@@ -104,9 +104,9 @@
 		// A caller that sent FIN may go on reading a long answer and confirming it.
 		e.expires = nanoseconds(c.now, linger)
 	case e.has(flagEstablished):
-		e.expires = nanoseconds(c.now, c.view.idle)
+		e.expires = nanoseconds(c.now, c.view.idle())
 	default:
-		e.expires = nanoseconds(c.now, min(claimLife, c.view.idle))
+		e.expires = nanoseconds(c.now, min(claimLife, c.view.idle()))
 	}
 }
 
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -158,7 +158,7 @@
 		c.take(e, out, p, nil)
 		return
 	}
-	if c.view.queueDeadline > 0 && c.owner.admission.load() < out.OfferLoad && c.enqueue(e, out, p) {
+	if c.view.queueDeadline() > 0 && c.owner.admission.load() < out.OfferLoad && c.enqueue(e, out, p) {
 		return
 	}
 	from := out.Path[0].Address
@@ -186,13 +186,13 @@
 		c.refuse(e, out, p, flow.ReasonDraining)
 		return
 	}
-	if c.view.queueDeadline == 0 || !c.enqueue(e, out, p) {
+	if c.view.queueDeadline() == 0 || !c.enqueue(e, out, p) {
 		c.refuse(e, out, p, flow.ReasonFull)
 	}
 }
 
 func (c *call) enqueue(e *entry, out *flow.Header, p *flow.Packet) bool {
-	w := keep(out, p, e.tokens[0], nanoseconds(c.now, c.view.queueDeadline))
+	w := keep(out, p, e.tokens[0], nanoseconds(c.now, c.view.queueDeadline()))
 	if !c.owner.admission.enqueue(w) {
 		return false
 	}
--- a/internal/core/owner/recovery.go
+++ b/internal/core/owner/recovery.go
@@ -66,7 +66,7 @@
 		e.flags |= flagBusy
 	}
 	c.owner.admission.adopt(c.now, e.has(flagBusy))
-	e.expires = nanoseconds(c.now, c.view.idle)
+	e.expires = nanoseconds(c.now, c.view.idle())
 	if e.port != 0 {
 		c.emit(&BindFlow{Key: e.key, LocalPort: e.port})
 	}
--- a/internal/core/owner/tick.go
+++ b/internal/core/owner/tick.go
@@ -54,7 +54,7 @@
 			c.expire(s, e)
 		case e.state == stateRemote && e.expires == 0:
 			// A directory entry outlives its owner by the idle timeout.
-			if o.peers.gone(o.hosts.address(e.host), c.now-int64(c.view.idle)) {
+			if o.peers.gone(o.hosts.address(e.host), c.now-int64(c.view.idle())) {
 				s.remove(e)
 			}
 		case e.has(flagRecovered|flagBusy) && e.state == stateOwned:
--- a/internal/platform/memory/lease.go
+++ b/internal/platform/memory/lease.go
@@ -10,9 +10,14 @@
 )
 
 type lease struct {
-	ttl      time.Duration
-	deadline time.Time
-	keys     map[string]struct{}
+	ttlSeconds int64
+	deadline   time.Time
+	keys       map[string]struct{}
+}
+
+// renew moves the deadline to a full time to live from now.
+func (l *lease) renew(now time.Time) {
+	l.deadline = now.Add(time.Duration(l.ttlSeconds) * time.Second)
 }
 
 // Grant returns a new lease.
@@ -27,8 +32,9 @@
 	defer s.mu.Unlock()
 	s.expire()
 	s.lastLease++
-	ttl := time.Duration(ttlSeconds) * time.Second
-	s.leases[s.lastLease] = &lease{ttl: ttl, deadline: s.now().Add(ttl), keys: map[string]struct{}{}}
+	l := &lease{ttlSeconds: ttlSeconds, keys: map[string]struct{}{}}
+	l.renew(s.now())
+	s.leases[s.lastLease] = l
 	s.schedule()
 	return s.lastLease, nil
 }
@@ -45,7 +51,7 @@
 	if l == nil {
 		return errors.WithMessagef(store.ErrLeaseNotFound, "lease %x", int64(id))
 	}
-	l.deadline = s.now().Add(l.ttl)
+	l.renew(s.now())
 	return nil
 }
 
@@ -69,7 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l := s.leases[id]; l != nil {
-		return int64(l.ttl / time.Second)
+		return l.ttlSeconds
 	}
 	return 0
 }
--- a/internal/platform/shard/member.go
+++ b/internal/platform/shard/member.go
@@ -39,10 +39,11 @@
 	changedAt   time.Time
 	publishedAt time.Time
 	pushAt      time.Time
-	pushWait    time.Duration
-	blockedAt   time.Time
-	kept        bool
-	learner     *weights.Learner
+	// pushes counts the pushes since the last change; each doubles the wait.
+	pushes    int
+	blockedAt time.Time
+	kept      bool
+	learner   *weights.Learner
 	// stale is set when a host came or its base weight changed since the last step
 	// of the learner.
 	stale bool
--- a/internal/platform/shard/publish.go
+++ b/internal/platform/shard/publish.go
@@ -26,6 +26,8 @@
 	// before the holder sends it to them.
 	pushDelay    = 500 * time.Millisecond
 	maxPushDelay = 30 * time.Second
+	// maxPushDoublings keeps the wait from overflowing; it reaches maxPushDelay before.
+	maxPushDoublings = 10
 	// blockedAfter is when a service that cannot publish is reported.
 	blockedAfter = 10 * time.Second
 	// maxBatchBytes bounds the specs of one transaction.
@@ -330,7 +332,7 @@
 	}
 	if s.stored == nil || Newest(st.Spec) > Newest(s.stored) {
 		s.changedAt, s.publishedAt = time.Time{}, now
-		s.pushAt, s.pushWait = now.Add(pushDelay), pushDelay
+		s.pushAt, s.pushes = now.Add(pushDelay), 0
 	}
 	before := s.listed
 	if st.Revision >= s.revision {
@@ -378,7 +380,7 @@
 	for _, name := range behind {
 		effects = append(effects, &Push{Balancer: name, Spec: s.stored})
 	}
-	s.pushWait = min(2*s.pushWait, maxPushDelay)
-	s.pushAt = now.Add(s.pushWait)
+	s.pushes++
+	s.pushAt = now.Add(min(pushDelay<<min(s.pushes, maxPushDoublings), maxPushDelay))
 	return effects
 }
