balancer, owner: Take answers of new hosts; wait for restarting witnesses

Change: a balancer takes frames of every agent that is seen alive. A flow waits for a witness whose stream is new (2 s) or has just broken (1 s), and asks the next member when that one has died.

--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -127,6 +127,16 @@
 	return nil, true
 }
 
+// witnessTime returns until when the witnesses of a flow may confirm it. While an
+// agent restarts, flows wait for it instead of being refused.
+func (c *call) witnessTime(witnesses []netip.AddrPort) (deadline int64) {
+	deadline = c.now
+	for _, a := range witnesses {
+		deadline = max(deadline, c.owner.peers.settled(a, c.now))
+	}
+	return nanoseconds(deadline, witnessDeadline)
+}
+
 // askWitnesses reports a flow to its witnesses at once. A witness without a stream
 // gets the report when there is one.
 func (c *call) askWitnesses(w *waiting) {
--- a/internal/core/owner/peers.go
+++ b/internal/core/owner/peers.go
@@ -73,6 +73,23 @@
 	return p != nil && p.dead(now)
 }
 
+// settled returns when it is known at the latest whether an agent can confirm: a
+// broken stream comes back or counts as dead after streamGrace, and an agent with a
+// new stream may be recovering. It returns now for any other agent.
+func (s *peerSet) settled(address netip.AddrPort, now int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.byAddress[address]
+	switch {
+	case p == nil:
+		return now
+	case p.connected:
+		return max(now, p.since+int64(recoveryLimit))
+	default:
+		return max(now, p.since+int64(streamGrace))
+	}
+}
+
 // connected reports whether there is a stream to an agent.
 func (s *peerSet) connected(address netip.AddrPort) bool {
 	s.mu.Lock()
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -237,8 +237,14 @@
 	}
 	e.state, e.expires = statePending, 0
 	c.noteOffer(e, h)
-	kept.deadline = nanoseconds(c.now, witnessDeadline)
-	kept.known, kept.witnesses, kept.asked = e.tokens, witnesses, nil
+	kept.known = e.tokens
+	c.await(kept, witnesses)
+}
+
+// await asks witnesses for a flow and keeps its packet until they have confirmed.
+func (c *call) await(kept *waiting, witnesses []netip.AddrPort) {
+	kept.deadline = c.witnessTime(witnesses)
+	kept.witnesses, kept.asked = witnesses, nil
 	for _, a := range witnesses {
 		kept.asked = append(kept.asked, ask{witness: a})
 	}
--- a/internal/core/owner/tick.go
+++ b/internal/core/owner/tick.go
@@ -17,11 +17,7 @@
 		c.withQueued(w, func(e *entry) { c.refuse(e, &w.header, &w.packet, flow.ReasonFull) })
 	}
 	for _, w := range c.owner.admission.takePending(func(w *waiting) bool { return w.deadline <= c.now }) {
-		c.withPending(w, func(e *entry) {
-			c.owner.admission.release(c.now, e.has(flagBusy))
-			c.freed = true
-			c.unwitnessed(e, w)
-		})
+		c.withPending(w, func(e *entry) { c.unwitnessed(e, w) })
 	}
 	// A witness may have spoken against a flow that its owner has given away since.
 	c.askAgain(func(w *waiting, _ ask) bool { return w.deadline-c.now < int64(witnessDeadline-askInterval) })
@@ -32,9 +28,17 @@
 	c.freed = true
 }
 
-// unwitnessed gives up a flow that its witnesses did not confirm in time.
+// unwitnessed gives up a flow that its witnesses did not confirm in time, unless
+// another host can be asked.
 func (c *call) unwitnessed(e *entry, w *waiting) {
 	contradicted := slices.ContainsFunc(w.asked, func(q ask) bool { return q.contradicted })
+	if witnesses, _ := c.witnesses(w.packet.Hash); !contradicted && !slices.Equal(witnesses, w.witnesses) {
+		// A witness has died meanwhile; the next member takes its place.
+		c.await(w, witnesses)
+		return
+	}
+	c.owner.admission.release(c.now, e.has(flagBusy))
+	c.freed = true
 	if !contradicted {
 		c.refuse(e, &w.header, &w.packet, flow.ReasonNoWitness)
 		return
--- a/internal/role/balancer/balancer.go
+++ b/internal/role/balancer/balancer.go
@@ -40,7 +40,7 @@
 // NewDataPath opens the sockets of a balancer.
 func NewDataPath(c DataPathConfig) (d *DataPath, err error) {
 	defer func() { err = errors.WithMessage(err, "open data path") }()
-	f := &forwarder{metrics: c.Metrics, limited: logging.NewLimited(c.Logger), fabrics: make(map[netip.AddrPort]struct{}), datagrams: make(map[netip.AddrPort]struct{})}
+	f := &forwarder{metrics: c.Metrics, limited: logging.NewLimited(c.Logger), fabrics: make(map[netip.AddrPort]struct{}), datagrams: make(map[netip.AddrPort]struct{}), alive: make(map[netip.AddrPort]struct{})}
 	f.scratches.New = func() any { return new(workspace) }
 	f.agents.Store(&map[netip.AddrPort]struct{}{})
 	for _, address := range c.Settings.FabricAddresses {
@@ -101,7 +101,7 @@
 
 // Suspect marks the agent at an address as dead, or as alive again.
 func (d *DataPath) Suspect(address netip.AddrPort, suspected bool) {
-	d.forwarder.router.Suspect(address, suspected)
+	d.forwarder.suspect(address, suspected)
 }
 
 // Versions returns the newest table version and config version of each service.
--- a/internal/role/balancer/forward.go
+++ b/internal/role/balancer/forward.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,12 @@
 	// fabric takes packets to callers; it is the zero value without a fabric.
 	fabric    netip.AddrPort
 	agents    atomic.Pointer[map[netip.AddrPort]struct{}]
+
+	mu sync.Mutex
+	// alive holds the agents that were seen alive. A new host answers through this
+	// balancer before the table that lists it has come.
+	alive map[netip.AddrPort]struct{}
+
 	scratches sync.Pool
 }
 
@@ -215,9 +222,28 @@
 	return applied, err
 }
 
-// refreshAgents collects the agents of all tables, whose frames are accepted.
+// suspect takes whether an agent is alive.
+func (f *forwarder) suspect(address netip.AddrPort, suspected bool) {
+	f.router.Suspect(address, suspected)
+	f.mu.Lock()
+	_, known := f.alive[address]
+	if suspected {
+		delete(f.alive, address)
+	} else {
+		f.alive[address] = struct{}{}
+	}
+	f.mu.Unlock()
+	if known == suspected {
+		f.refreshAgents()
+	}
+}
+
+// refreshAgents collects the agents whose frames are accepted: those of all
+// tables, and those that are alive.
 func (f *forwarder) refreshAgents() {
-	agents := make(map[netip.AddrPort]struct{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	agents := maps.Clone(f.alive)
 	for _, version := range f.router.Versions() {
 		t := f.router.Table(version.GetServiceId())
 		if t == nil {
