--- a/internal/role/balancer/forward.go
+++ b/internal/role/balancer/forward.go
@@ -48,8 +48,8 @@
 	// an address of a caller behind the fabric is never a target of a socket.
 	datagrams map[netip.AddrPort]struct{}
 	// fabric takes packets to callers; it is the zero value without a fabric.
-	fabric    netip.AddrPort
-	agents    atomic.Pointer[map[netip.AddrPort]struct{}]
+	fabric netip.AddrPort
+	agents atomic.Pointer[map[netip.AddrPort]struct{}]
 
 	mu sync.Mutex
 	// alive holds the agents that were seen alive. A new host answers through this
