certificates: Open the files of a process in one place

Cause: both roles and the store client each turned TLS settings into certificates, and each handled plaintext by itself. Change: certificates.Open takes the settings; a nil result stands for plaintext in its methods. Conclusion: no change in behaviour.

--- a/internal/cli/commands/process.go
+++ b/internal/cli/commands/process.go
@@ -60,15 +60,11 @@
 
 func balancerStore(s *settings.Balancer) (client *etcd.Client, err error) {
 	c := etcd.Config{Endpoints: texts(s.StoreEndpoints), Name: s.Name}
-	if s.StoreTLS.Enabled() {
-		files, err := certificates.New(certificates.Config{
-			CertificateFile: s.StoreTLS.CertificateFile, KeyFile: s.StoreTLS.KeyFile, AuthorityFile: s.StoreTLS.AuthorityFile,
-		})
-		if err != nil {
-			return nil, err
-		}
-		c.TLS = files.Client()
+	files, err := certificates.Open(s.StoreTLS)
+	if err != nil {
+		return nil, err
 	}
+	c.TLS = files.Client()
 	return etcd.New(c)
 }
 
--- a/internal/process/certificates/certificates.go
+++ b/internal/process/certificates/certificates.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"agateramp/internal/process/settings"
 )
 
 // Config names PEM files.
@@ -41,8 +43,21 @@
 	return c, nil
 }
 
-// Server returns a configuration that demands a certificate of the authority from clients.
+// Open reads the files that the settings of a process name. It returns nil, whose
+// methods stand for plaintext, if they name none.
+func Open(files settings.TLS) (c *Certificates, err error) {
+	if !files.Enabled() {
+		return nil, nil
+	}
+	return New(Config{CertificateFile: files.CertificateFile, KeyFile: files.KeyFile, AuthorityFile: files.AuthorityFile})
+}
+
+// Server returns a configuration that demands a certificate of the authority from
+// clients, or nil for plaintext.
 func (c *Certificates) Server() *tls.Config {
+	if c == nil {
+		return nil
+	}
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
@@ -59,8 +74,11 @@
 
 // Client returns a configuration that presents the certificate and accepts
 // servers of the authority. Peers are known by IP numbers that change, so the
-// chain is verified and the name is not.
+// chain is verified and the name is not. It returns nil for plaintext.
 func (c *Certificates) Client() *tls.Config {
+	if c == nil {
+		return nil
+	}
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
@@ -73,10 +91,14 @@
 	}
 }
 
-// Expiry returns when the certificate of this process expires.
-func (c *Certificates) Expiry() time.Time {
+// Expiry returns when the certificate of this process expires in seconds since
+// 1970, or 0 for plaintext.
+func (c *Certificates) Expiry() int64 {
+	if c == nil {
+		return 0
+	}
 	pair, _ := c.current()
-	return pair.Leaf.NotAfter
+	return pair.Leaf.NotAfter.Unix()
 }
 
 func (c *Certificates) verify(state tls.ConnectionState) (err error) {
--- a/internal/role/agent/role.go
+++ b/internal/role/agent/role.go
@@ -94,10 +94,10 @@
 		settings: c.Settings, logger: c.Logger, incarnation: uint64(time.Now().UnixNano()),
 		connected: make(chan struct{}), stopped: c.Group.Context().Done(),
 	}
-	server, client, err := a.tls()
-	if err != nil {
+	if a.certs, err = certificates.Open(c.Settings.TLS); err != nil {
 		return nil, err
 	}
+	server, client := a.certs.Server(), a.certs.Client()
 	a.dispatcher, err = newDispatcher(dataPathConfig{
 		settings: c.Settings, incarnation: a.incarnation, peers: a, logger: c.Logger, metrics: c.Metrics, group: c.Group,
 	})
@@ -112,20 +112,6 @@
 	return a, a.serveAdmin(c, server)
 }
 
-func (a *Agent) tls() (server, client *tls.Config, err error) {
-	files := a.settings.TLS
-	if !files.Enabled() {
-		return nil, nil, nil
-	}
-	a.certs, err = certificates.New(certificates.Config{
-		CertificateFile: files.CertificateFile, KeyFile: files.KeyFile, AuthorityFile: files.AuthorityFile,
-	})
-	if err != nil {
-		return nil, nil, err
-	}
-	return a.certs.Server(), a.certs.Client(), nil
-}
-
 // connect opens the streams to other agents and to balancers.
 func (a *Agent) connect(c Config, server, client *tls.Config) (err error) {
 	member := a.member()
@@ -351,9 +337,7 @@
 		s.Problems = append(s.Problems, "no stream to a balancer")
 	}
 	s.Ready = spec != nil && !s.GetLoad().GetRecovering()
-	if a.certs != nil {
-		s.CertificateExpiry = a.certs.Expiry().Unix()
-	}
+	s.CertificateExpiry = a.certs.Expiry()
 	return s
 }
 
--- a/internal/role/balancer/role.go
+++ b/internal/role/balancer/role.go
@@ -68,10 +68,10 @@
 func New(c Config) (b *Balancer, err error) {
 	defer func() { err = errors.WithMessage(err, "start balancer") }()
 	b = &Balancer{settings: c.Settings, logger: c.Logger, trail: newTrail(c.Store, c.Logger, c.Settings.Name)}
-	server, client, err := b.tls()
-	if err != nil {
+	if b.certs, err = certificates.Open(c.Settings.TLS); err != nil {
 		return nil, err
 	}
+	server, client := b.certs.Server(), b.certs.Client()
 	b.path, err = NewDataPath(DataPathConfig{Settings: c.Settings, Logger: c.Logger, Metrics: c.Metrics, Group: c.Group})
 	if err != nil {
 		return nil, err
@@ -95,20 +95,6 @@
 	return b, nil
 }
 
-func (b *Balancer) tls() (server, client *tls.Config, err error) {
-	files := b.settings.TLS
-	if !files.Enabled() {
-		return nil, nil, nil
-	}
-	b.certs, err = certificates.New(certificates.Config{
-		CertificateFile: files.CertificateFile, KeyFile: files.KeyFile, AuthorityFile: files.AuthorityFile,
-	})
-	if err != nil {
-		return nil, nil, err
-	}
-	return b.certs.Server(), b.certs.Client(), nil
-}
-
 func (b *Balancer) serveAdmin(c Config, server *tls.Config) (err error) {
 	if !c.Settings.HTTPAddress.IsValid() {
 		return nil
@@ -193,9 +179,7 @@
 		s.Problems = append(s.Problems, fmt.Sprintf("no table spec of service %d as new as configuration version %d", id, s.GetConfigSeen()))
 	}
 	s.Ready = s.GetConfigVersion() > 0
-	if b.certs != nil {
-		s.CertificateExpiry = b.certs.Expiry().Unix()
-	}
+	s.CertificateExpiry = b.certs.Expiry()
 	return s
 }
 
