group: Run periodic tasks in one place

Cause: the same ticker loop stood in dev, the pause guard and the agent. Change: group.Every; dev's reload and status use it too. Conclusion: no change in behaviour.

--- a/internal/cli/commands/dev.go
+++ b/internal/cli/commands/dev.go
@@ -163,17 +163,18 @@
 
 // serve applies changes of the folder and prints the status until a signal comes.
 func (c *devCommand) serve(env *environment, tasks *group.Group, s *system.System, folder string) error {
-	tasks.Go("reload", func(ctx context.Context) error { return c.reload(ctx, env, s, folder) })
-	tasks.Go("status", func(ctx context.Context) error { return printStatus(ctx, env.stdout, s) })
+	tasks.Every("reload", devReloadInterval, c.reload(tasks.Context(), env, s, folder))
+	tasks.Every("status", devStatusInterval, func() { printStatus(env.stdout, s) })
 	waitSignal(tasks, notify(syscall.SIGTERM, syscall.SIGINT))
 	tasks.Stop()
 	return tasks.Wait()
 }
 
-// reload applies the folder; an unchanged one makes no new version.
-func (c *devCommand) reload(ctx context.Context, env *environment, s *system.System, folder string) error {
+// reload returns a function that applies the folder; an unchanged one makes no
+// new version.
+func (c *devCommand) reload(ctx context.Context, env *environment, s *system.System, folder string) func() {
 	last := ""
-	return every(ctx, devReloadInterval, func() {
+	return func() {
 		version, err := s.Apply(ctx, os.DirFS(folder), "the folder changed")
 		message := fmt.Sprintf("configuration version %d", version)
 		if err != nil {
@@ -183,29 +184,13 @@
 			fmt.Fprintln(env.stdout, message)
 		}
 		last = message
-	})
-}
-
-func printStatus(ctx context.Context, w io.Writer, s *system.System) error {
-	return every(ctx, devStatusInterval, func() {
-		for _, status := range s.Status() {
-			fmt.Fprintf(w, "%-12s %-8s config=%d ready=%t flows=%d busy=%d draining=%t problems=%v\n",
-				status.GetName(), status.GetRole(), status.GetConfigVersion(), status.GetReady(),
-				status.GetLoad().GetOpenFlows(), status.GetLoad().GetBusy(), status.GetLoad().GetDraining(), status.GetProblems())
-		}
-	})
+	}
 }
 
-// every calls do at an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, do func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			do()
-		}
+func printStatus(w io.Writer, s *system.System) {
+	for _, status := range s.Status() {
+		fmt.Fprintf(w, "%-12s %-8s config=%d ready=%t flows=%d busy=%d draining=%t problems=%v\n",
+			status.GetName(), status.GetRole(), status.GetConfigVersion(), status.GetReady(),
+			status.GetLoad().GetOpenFlows(), status.GetLoad().GetBusy(), status.GetLoad().GetDraining(), status.GetProblems())
 	}
 }
--- a/internal/process/group/group.go
+++ b/internal/process/group/group.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -29,6 +30,22 @@
 	})
 }
 
+// Every starts a task that calls do at an interval.
+func (g *Group) Every(name string, interval time.Duration, do func()) {
+	g.Go(name, func(ctx context.Context) error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				do()
+			}
+		}
+	})
+}
+
 // Context returns the context that tasks get.
 func (g *Group) Context() context.Context { return g.ctx }
 
--- a/internal/process/pause/pause.go
+++ b/internal/process/pause/pause.go
@@ -2,7 +2,6 @@
 package pause
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -48,18 +47,7 @@
 		c.Now = time.Now
 	}
 	g = &Guard{now: c.Now, started: c.Now()}
-	c.Group.Go("pause guard", func(ctx context.Context) error {
-		ticker := time.NewTicker(beatInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				g.tick()
-			}
-		}
-	})
+	c.Group.Every("pause guard", beatInterval, g.tick)
 	return g, nil
 }
 
--- a/internal/role/agent/datapath.go
+++ b/internal/role/agent/datapath.go
@@ -3,7 +3,6 @@
 package agent
 
 import (
-	"context"
 	"net/netip"
 	"time"
 
@@ -94,18 +93,7 @@
 // start begins to read frames and to let deadlines pass.
 func (d *dispatcher) start(g *group.Group) {
 	d.port.Start()
-	g.Go("owner ticks", func(ctx context.Context) error {
-		ticker := time.NewTicker(tickInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				d.event(owner.Tick{})
-			}
-		}
-	})
+	g.Every("owner ticks", tickInterval, func() { d.event(owner.Tick{}) })
 }
 
 // update takes a table spec of the agent's service.
