keyvalue: Rename the area of the store from platform

The word platform is needed for the adapter to the users' platform at the root. The area holds the port to a key-value store, its adapters and the shard holders that use it, so it is named for that.

--- a/internal/cli/commands/config.go
+++ b/internal/cli/commands/config.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/operator/config"
-	"agateramp/internal/platform/etcd"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcd"
+	"agateramp/internal/keyvalue/store"
 )
 
 // configCommand groups the commands on the configuration.
--- a/internal/cli/commands/config_apply.go
+++ b/internal/cli/commands/config_apply.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/operator/config"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // balancerVersion is what one live balancer reports.
--- a/internal/cli/commands/config_test.go
+++ b/internal/cli/commands/config_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/matryer/is"
 
-	"agateramp/internal/platform/etcd"
-	"agateramp/internal/platform/shard"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcd"
+	"agateramp/internal/keyvalue/shard"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 	"agateramp/internal/standin/etcdserver"
 )
--- a/internal/cli/commands/config_versions.go
+++ b/internal/cli/commands/config_versions.go
@@ -9,8 +9,8 @@
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/table"
 	"agateramp/internal/operator/config"
-	"agateramp/internal/platform/shard"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/shard"
+	"agateramp/internal/keyvalue/store"
 )
 
 // storedVersions lists the live balancers by their leased keys.
--- a/internal/cli/commands/process.go
+++ b/internal/cli/commands/process.go
@@ -11,7 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/etcd"
+	"agateramp/internal/keyvalue/etcd"
 	"agateramp/internal/process/certificates"
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
--- a/internal/cli/scenario/roles_test.go
+++ b/internal/cli/scenario/roles_test.go
@@ -17,7 +17,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"agateramp/internal/operator/config"
-	"agateramp/internal/platform/etcd"
+	"agateramp/internal/keyvalue/etcd"
 	"agateramp/internal/process/group"
 )
 
--- a/internal/control/agents/agent.go
+++ b/internal/control/agents/agent.go
@@ -9,7 +9,7 @@
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/control/peer"
-	"agateramp/internal/platform/shard"
+	"agateramp/internal/keyvalue/shard"
 )
 
 // agent is an attached agent.
--- a/internal/control/agents/agents_test.go
+++ b/internal/control/agents/agents_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"agateramp/internal/platform/shard"
+	"agateramp/internal/keyvalue/shard"
 )
 
 // TestSystem runs 4 balancers and 20 agents over loopback and guards against
--- a/internal/control/agents/measure_test.go
+++ b/internal/control/agents/measure_test.go
@@ -13,8 +13,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"agateramp/internal/control/controlpb"
-	"agateramp/internal/platform/shard"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/shard"
+	"agateramp/internal/keyvalue/store"
 )
 
 // BenchmarkControl prints the control bytes of each balancer and agent, the CPU
--- a/internal/control/agents/service.go
+++ b/internal/control/agents/service.go
@@ -16,8 +16,8 @@
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/control/peer"
-	"agateramp/internal/platform/shard"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/shard"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 )
 
--- a/internal/control/agents/specs.go
+++ b/internal/control/agents/specs.go
@@ -8,8 +8,8 @@
 	"github.com/go-kit/log/level"
 
 	"agateramp/internal/control/controlpb"
-	"agateramp/internal/platform/shard"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/shard"
+	"agateramp/internal/keyvalue/store"
 )
 
 // suspicionTime is how long suspicions of an earlier shard holder stand. A new
--- a/internal/control/agents/store_test.go
+++ b/internal/control/agents/store_test.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // view is the store as one balancer sees it. It can be cut off, answer late, and
--- a/internal/control/agents/system_test.go
+++ b/internal/control/agents/system_test.go
@@ -17,9 +17,9 @@
 	"agateramp/internal/control/balancers"
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/router"
-	"agateramp/internal/platform/memory"
-	"agateramp/internal/platform/shard"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/memory"
+	"agateramp/internal/keyvalue/shard"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 )
 
--- a/internal/control/agents/uplink.go
+++ b/internal/control/agents/uplink.go
@@ -8,7 +8,7 @@
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/control/peer"
-	"agateramp/internal/platform/shard"
+	"agateramp/internal/keyvalue/shard"
 )
 
 // uplink is the stream to another balancer that holds shards.
--- a/internal/control/balancers/balancers.go
+++ b/internal/control/balancers/balancers.go
@@ -16,7 +16,7 @@
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/control/peer"
-	"agateramp/internal/platform/shard"
+	"agateramp/internal/keyvalue/shard"
 	"agateramp/internal/process/group"
 )
 
--- a/internal/platform/etcd/convert.go
+++ b/internal/keyvalue/etcd/convert.go
@@ -7,8 +7,8 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/etcdpb"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcdpb"
+	"agateramp/internal/keyvalue/store"
 )
 
 func entryOf(kv *etcdpb.KeyValue) store.Entry {
--- a/internal/platform/etcd/lease.go
+++ b/internal/keyvalue/etcd/lease.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/etcdpb"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcdpb"
+	"agateramp/internal/keyvalue/store"
 )
 
 // Grant returns a new lease.
--- a/internal/platform/memory/lease.go
+++ b/internal/keyvalue/memory/lease.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 type lease struct {
--- a/internal/platform/memory/memory.go
+++ b/internal/keyvalue/memory/memory.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // defaultHistory holds some minutes of events at several hundred writes a second.
--- a/internal/platform/memory/model_test.go
+++ b/internal/keyvalue/memory/model_test.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // TestMain fixes the seed of random tests, but for long runs.
--- a/internal/platform/memory/watch.go
+++ b/internal/keyvalue/memory/watch.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // watcher reads the history of its store from position on. Fields but wake and
--- a/internal/platform/shard/keys.go
+++ b/internal/keyvalue/shard/keys.go
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"agateramp/internal/control/controlpb"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // Shards is the number of shards.
--- a/internal/platform/shard/lease.go
+++ b/internal/keyvalue/shard/lease.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // maxFollowRetry bounds the wait before a watch is opened again. After an outage
--- a/internal/platform/shard/model_check_test.go
+++ b/internal/keyvalue/shard/model_check_test.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"agateramp/internal/control/controlpb"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // commit applies a transaction and checks the invariants.
--- a/internal/platform/shard/register.go
+++ b/internal/keyvalue/shard/register.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 )
 
--- a/internal/platform/shard/runner.go
+++ b/internal/keyvalue/shard/runner.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/control/controlpb"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 )
 
--- a/internal/platform/shard/writer.go
+++ b/internal/keyvalue/shard/writer.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 const (
--- a/internal/operator/audit/append.go
+++ b/internal/operator/audit/append.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/backoff"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/backoff"
+	"agateramp/internal/keyvalue/store"
 )
 
 // Append adds a record on its own, for events that are no change in the store.
--- a/internal/operator/audit/audit.go
+++ b/internal/operator/audit/audit.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // Keys of the trail in the store.
--- a/internal/operator/audit/audit_test.go
+++ b/internal/operator/audit/audit_test.go
@@ -14,9 +14,9 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"agateramp/internal/platform/backoff"
-	"agateramp/internal/platform/memory"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/backoff"
+	"agateramp/internal/keyvalue/memory"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/standin/etcdserver"
 )
 
--- a/internal/operator/config/apply.go
+++ b/internal/operator/config/apply.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/operator/audit"
-	"agateramp/internal/platform/backoff"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/backoff"
+	"agateramp/internal/keyvalue/store"
 )
 
 // attemptTimeout bounds one attempt, so that an endpoint that never answers
--- a/internal/operator/config/config_test.go
+++ b/internal/operator/config/config_test.go
@@ -14,8 +14,8 @@
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/operator/audit"
-	"agateramp/internal/platform/memory"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/memory"
+	"agateramp/internal/keyvalue/store"
 )
 
 const studio = `{"services":{"studio":{"addresses":[{"address":"10.0.0.1:443","protocol":"tcp"}]}}}`
--- a/internal/operator/config/fleet_test.go
+++ b/internal/operator/config/fleet_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"agateramp/internal/platform/memory"
+	"agateramp/internal/keyvalue/memory"
 	"agateramp/internal/process/group"
 	"agateramp/internal/standin/etcdserver"
 )
--- a/internal/operator/config/manifest.go
+++ b/internal/operator/config/manifest.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // Keys of the configuration in the store.
--- a/internal/operator/config/model_test.go
+++ b/internal/operator/config/model_test.go
@@ -13,9 +13,9 @@
 	"pgregory.net/rapid"
 
 	"agateramp/internal/operator/audit"
-	"agateramp/internal/platform/backoff"
-	"agateramp/internal/platform/memory"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/backoff"
+	"agateramp/internal/keyvalue/memory"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 	"agateramp/internal/standin/etcdserver"
 )
--- a/internal/operator/config/snapshot.go
+++ b/internal/operator/config/snapshot.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/control/controlpb"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // Snapshot is one version of the configuration as the store holds it.
--- a/internal/operator/config/watch.go
+++ b/internal/operator/config/watch.go
@@ -5,8 +5,8 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/backoff"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/backoff"
+	"agateramp/internal/keyvalue/store"
 )
 
 // WatchConfig configures a watch of the configuration.
--- a/internal/operator/config/write.go
+++ b/internal/operator/config/write.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/operator/audit"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 )
 
 // write commits the change as the version after current. It reports false when
--- a/internal/role/balancer/trail.go
+++ b/internal/role/balancer/trail.go
@@ -10,9 +10,9 @@
 	"github.com/go-kit/log/level"
 
 	"agateramp/internal/operator/audit"
-	"agateramp/internal/platform/backoff"
-	"agateramp/internal/platform/shard"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/backoff"
+	"agateramp/internal/keyvalue/shard"
+	"agateramp/internal/keyvalue/store"
 )
 
 // maxPendingRecords bounds the audit records that wait for the store. During a
--- a/internal/standin/etcdserver/bench_test.go
+++ b/internal/standin/etcdserver/bench_test.go
@@ -5,9 +5,9 @@
 	"net"
 	"testing"
 
-	"agateramp/internal/platform/etcd"
-	"agateramp/internal/platform/memory"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcd"
+	"agateramp/internal/keyvalue/memory"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 	"agateramp/internal/standin/etcdserver"
 )
--- a/internal/standin/etcdserver/connection_test.go
+++ b/internal/standin/etcdserver/connection_test.go
@@ -14,8 +14,8 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/etcd"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcd"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 	"agateramp/internal/standin/etcdserver"
 )
--- a/internal/standin/etcdserver/contract_test.go
+++ b/internal/standin/etcdserver/contract_test.go
@@ -11,9 +11,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 
-	"agateramp/internal/platform/etcd"
-	"agateramp/internal/platform/memory"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcd"
+	"agateramp/internal/keyvalue/memory"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 	"agateramp/internal/standin/etcdserver"
 )
--- a/internal/standin/etcdserver/faults.go
+++ b/internal/standin/etcdserver/faults.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/memory"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/memory"
+	"agateramp/internal/keyvalue/store"
 )
 
 // Settings are the faults in force. The zero value means none.
--- a/internal/standin/etcdserver/faults_test.go
+++ b/internal/standin/etcdserver/faults_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/standin/etcdserver"
 )
 
--- a/internal/standin/etcdserver/kv.go
+++ b/internal/standin/etcdserver/kv.go
@@ -5,8 +5,8 @@
 
 	"connectrpc.com/connect"
 
-	"agateramp/internal/platform/etcdpb"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcdpb"
+	"agateramp/internal/keyvalue/store"
 )
 
 // kv serves reads and transactions.
--- a/internal/standin/etcdserver/linearizable_test.go
+++ b/internal/standin/etcdserver/linearizable_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 	"agateramp/internal/standin/etcdserver"
 )
--- a/internal/standin/etcdserver/server.go
+++ b/internal/standin/etcdserver/server.go
@@ -13,9 +13,9 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"agateramp/internal/platform/etcdpb"
-	"agateramp/internal/platform/memory"
-	"agateramp/internal/platform/store"
+	"agateramp/internal/keyvalue/etcdpb"
+	"agateramp/internal/keyvalue/memory"
+	"agateramp/internal/keyvalue/store"
 )
 
 // maxRequestBytes is the default request limit of the published service.
--- a/internal/standin/system/system.go
+++ b/internal/standin/system/system.go
@@ -16,7 +16,7 @@
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/load/history"
 	"agateramp/internal/operator/config"
-	"agateramp/internal/platform/etcd"
+	"agateramp/internal/keyvalue/etcd"
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/metrics"
 	"agateramp/internal/process/settings"
