--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -258,7 +258,7 @@
 			return []Decision{Drop{Flow: key, Reason: ReasonForgotten}}
 		}
 		e.refused++
-		if e.last() != agent {
+		if e.last() != agent && e.refused < len(e.tried) {
 			return nil
 		}
 		return d.offer(now, e, s.Data, StepNextOffer, s.Acknowledgement)
