--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -24,7 +24,6 @@
 type cli struct {
 	Balancer balancerCommand `cmd:"" help:"Run a balancer."`
 	Agent    agentCommand    `cmd:"" help:"Run the agent beside a backend server."`
-	Hosted   hostedCommand   `cmd:"" help:"Run a process with the settings and the store of the hosting platform."`
 	Config   configCommand   `cmd:"" help:"Check, apply and inspect the configuration."`
 	Status   statusCommand   `cmd:"" help:"Print what processes say of themselves."`
 	Drain    drainCommand    `cmd:"" help:"Have a host take no new flows, or take them again."`
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -80,8 +80,14 @@
 	wanted chan netip.Addr
 
 	// mu guards what follows.
-	mu        sync.Mutex
-	core      *dispatch.Dispatcher
+	mu   sync.Mutex
+	core *dispatch.Dispatcher
+	// storeLost is when the store was last lost, storeDown whether it still is, and
+	// listed whether its list of agents was read.
+	storeLost time.Time
+	storeDown bool
+	listed    bool
+
 	balancers map[netip.Addr]time.Time
 	// newest is the newest configuration that another process has told of.
 	newest uint64
@@ -135,7 +141,7 @@
 
 func (b *Balancer) start() (err error) {
 	config, err := registry.NewFollower(registry.FollowerConfig{
-		Store: b.config.Store, Prefix: b.config.ConfigKey, Pause: configPause, Changed: b.configChanged, Logger: b.config.Logger,
+		Store: b.config.Store, Prefix: b.config.ConfigKey, Pause: configPause, Changed: b.configChanged, Reached: b.storeReached, Logger: b.config.Logger,
 	})
 	if err != nil {
 		return err
@@ -291,6 +297,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.core.Expire(now)
+	b.core.SetComplete(b.isComplete(now))
 	m := b.config.Metrics
 	m.Gauge("flows").Update(int64(b.core.Flows()))
 	m.Gauge("agents.answering").Update(int64(b.core.Answering(now)))
@@ -299,6 +306,26 @@
 	b.noteReady(now, b.isReady(now))
 }
 
+// entryReturnTime is how long after the store's return the entries of agents may
+// still be missing: 2 s, and half as much again for the way here.
+const entryReturnTime = 3 * time.Second
+
+// storeReached takes the loss and the return of the store.
+func (b *Balancer) storeReached(reached bool) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.storeDown = !reached; b.storeDown {
+		b.storeLost = now
+	}
+	b.core.SetComplete(b.isComplete(now))
+}
+
+// isComplete reports whether the agents that are known are all that there are.
+func (b *Balancer) isComplete(now time.Time) bool {
+	return b.listed && !b.storeDown && now.Sub(b.storeLost) > entryReturnTime
+}
+
 // Ready reports whether the balancer takes traffic: it has a configuration and
 // reaches agents, and is not stopping.
 func (b *Balancer) Ready() bool {
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -221,7 +221,10 @@
 	}
 	slices.SortFunc(addresses, netip.Addr.Compare)
 	b.mu.Lock()
-	b.core.SetListed(time.Now(), addresses)
+	now := time.Now()
+	b.listed = true
+	b.core.SetListed(now, addresses)
+	b.core.SetComplete(b.isComplete(now))
 	b.mu.Unlock()
 	logLine(level.Info(b.config.Logger), "event", "agents_listed", "count", len(addresses))
 	for _, address := range addresses {
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -68,6 +68,10 @@
 	d.prune(now)
 }
 
+// SetComplete says whether the listed agents are all that can be reached: the
+// store answers, and has for as long as entries take to come back.
+func (d *Dispatcher) SetComplete(complete bool) { d.complete = complete }
+
 // Learn adds agents that another process knows.
 func (d *Dispatcher) Learn(now time.Time, addresses []netip.Addr) {
 	for _, address := range addresses {
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -36,6 +36,10 @@
 	ReasonNoHost Reason = "no_host"
 	// ReasonRefused means that every host that was asked refused the flow.
 	ReasonRefused Reason = "refused"
+	// ReasonHostLost means that the host that held the flow no longer does.
+	ReasonHostLost Reason = "host_lost"
+	// ReasonHeldNowhere means that every host was asked and none holds the flow.
+	ReasonHeldNowhere Reason = "held_nowhere"
 	// ReasonNotFound means that no reachable host holds the flow.
 	ReasonNotFound Reason = "not_found"
 	// ReasonPending means that an earlier copy of the packet is still under way.
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,8 @@
 	flows   *table
 	// pending holds the entries with a deadline.
 	pending []*entry
+	// complete is set while the store has every agent that can be reached.
+	complete bool
 }
 
 // New returns a dispatcher without routes and agents.
@@ -94,10 +97,10 @@
 		return d.handleFirst(now, key, e, s)
 	}
 	if d.routes.Route(s.Destination) == nil && d.removed[s.Destination] {
-		if e != nil {
-			d.flows.remove(e)
+		if e == nil {
+			return []Decision{Reset{Flow: key, Sequence: s.Acknowledgement, Reason: ReasonRouteRemoved}}
 		}
-		return []Decision{Reset{Flow: key, Sequence: s.Acknowledgement, Reason: ReasonRouteRemoved}}
+		return d.reset(e, s.Acknowledgement, ReasonRouteRemoved)
 	}
 	if e == nil {
 		e = &entry{key: key, phase: phaseSearching}
@@ -158,12 +161,10 @@
 		// Hosts that restart are back before the caller's last copy.
 		return []Decision{Drop{Flow: e.key, Reason: ReasonNoHost}}
 	}
-	d.flows.remove(e)
-	reason := ReasonRefused
 	if len(e.tried) == 0 {
-		reason = ReasonNoHost
+		return d.reset(e, 0, ReasonNoHost)
 	}
-	return []Decision{Reset{Flow: e.key, Reason: reason}}
+	return d.reset(e, 0, ReasonRefused)
 }
 
 func (d *Dispatcher) forward(e *entry, agent netip.Addr, step Step, data []byte) (decisions []Decision) {
@@ -263,7 +264,14 @@
 		}
 		return d.offer(now, e, s.Data, StepNextOffer, s.Acknowledgement)
 	}
+	gone := reason == packet.ReturnNotHeld || reason == packet.ReturnWrongService
+	if gone && !slices.Contains(e.denied, agent) {
+		e.denied = append(e.denied, agent)
+	}
 	switch {
+	case e.phase == phaseSettled && e.owner == agent && gone:
+		// A flow never moves, so no other host holds it.
+		return d.reset(e, s.Acknowledgement, ReasonHostLost)
 	case e.phase == phaseSettled && e.owner != agent:
 		// The owner became known while the packet was under way.
 		return d.forward(e, e.owner, StepOwner, s.Data)
@@ -274,5 +282,12 @@
 	case e.phase != phaseSearching:
 		e.phase, e.tried, e.refused, e.answers = phaseSearching, []netip.Addr{agent}, 0, nil
 	}
+	e.acknowledged = s.Acknowledgement
 	return d.search(now, e, s.Data)
 }
+
+// reset ends a flow towards its caller and forgets it.
+func (d *Dispatcher) reset(e *entry, sequence uint32, reason Reason) (decisions []Decision) {
+	d.flows.remove(e)
+	return []Decision{Reset{Flow: e.key, Sequence: sequence, Reason: reason}}
+}
--- a/internal/segment/dispatch/dispatch_test.go
+++ b/internal/segment/dispatch/dispatch_test.go
@@ -280,3 +280,54 @@
 	d.Expire(b.now)
 	is.Equal(d.Flows(), 0)
 }
+
+// Guards against callers that wait for their time-out on a flow whose host is
+// gone, and against resets of flows that may live at a host which does not answer.
+func TestDeadFlow(t *testing.T) {
+	s := segment(packet.ACK, 500, 6000)
+	key := s.FromCaller()
+	b := newBench(t)
+	owner := b.open()
+	b.is.Equal(b.HandleReturned(b.now, owner, s, packet.ReturnNotHeld, packet.Load{}),
+		[]Decision{Reset{Flow: key, Sequence: 6000, Reason: ReasonHostLost}})
+
+	cases := []struct {
+		name   string
+		change func(b *bench)
+		reset  bool
+	}{
+		{"all answer", func(*bench) {}, true},
+		{"store away", func(b *bench) { b.SetComplete(false) }, false},
+		{"agent listed but not heard of", func(b *bench) {
+			b.SetListed(b.now, []netip.Addr{host(0), host(1), host(2), host(9), host(20)})
+		}, false},
+		{"agent silent", func(b *bench) {
+			b.later(silentAfter + time.Millisecond)
+			for i := range 2 {
+				b.status(host(i), "studio", packet.HostReady)
+			}
+			b.status(host(9), "archive", packet.HostReady)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.SetComplete(true)
+			c.change(b)
+			decisions := b.HandlePacket(b.now, s)
+			for range 3 {
+				decisions = b.HandleReturned(b.now, b.forward(decisions).Agent, s, packet.ReturnNotHeld, packet.Load{})
+			}
+			last, asked := decisions[0].(Forward)
+			switch {
+			case asked && b.agents[last.Agent].silent(b.now):
+				b.later(searchTimeout)
+				decisions = b.Tick(b.now)
+			case asked:
+				decisions = b.HandleReturned(b.now, last.Agent, s, packet.ReturnNotHeld, packet.Load{})
+			}
+			_, reset := decisions[0].(Reset)
+			b.is.Equal(reset, c.reset)
+		})
+	}
+}
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -39,11 +39,15 @@
 	first  uint32
 	opened bool
 	owner  netip.Addr
+	// denied holds the agents whose hosts do not hold the flow.
+	denied []netip.Addr
 	// tried holds the agents that were asked, the last one at the end, and refused
 	// counts how many of them returned the packet.
 	tried   []netip.Addr
 	refused int
 	answers []answer
+	// acknowledged is the caller's last acknowledgement, for a reset.
+	acknowledged uint32
 	// packet is a copy of the packet that was sent last, kept until an answer.
 	packet  []byte
 	touched time.Time
@@ -66,7 +70,7 @@
 // settle records the owner and drops what was kept for the search.
 func (e *entry) settle(owner netip.Addr) {
 	e.phase, e.owner = phaseSettled, owner
-	e.tried, e.packet, e.refused, e.deadline = nil, nil, 0, time.Time{}
+	e.tried, e.denied, e.packet, e.refused, e.deadline = nil, nil, nil, 0, time.Time{}
 }
 
 // table holds the flows by key, and by the time of their last packet.
--- a/internal/segment/dispatch/search.go
+++ b/internal/segment/dispatch/search.go
@@ -12,6 +12,9 @@
 // where they are when a configuration changes their route.
 func (d *Dispatcher) search(now time.Time, e *entry, data []byte) (decisions []Decision) {
 	next := d.nextCandidate(now, e)
+	if next == nil && d.heldNowhere(now, e) {
+		return d.reset(e, e.acknowledged, ReasonHeldNowhere)
+	}
 	if next == nil {
 		e.phase, e.deadline, e.packet, e.retryAt = phaseLost, time.Time{}, nil, now.Add(searchPause)
 		return []Decision{Drop{Flow: e.key, Reason: ReasonNotFound}}
@@ -21,6 +24,20 @@
 	return d.forward(e, next.address, StepSearch, data)
 }
 
+// heldNowhere reports whether every host that there can be has said that it does
+// not hold the flow. An agent that does not answer may hold it.
+func (d *Dispatcher) heldNowhere(now time.Time, e *entry) bool {
+	if !d.complete || len(d.order) == 0 {
+		return false
+	}
+	for _, a := range d.order {
+		if !a.known || a.silent(now) || !slices.Contains(e.denied, a.address) {
+			return false
+		}
+	}
+	return true
+}
+
 // nextCandidate returns the next agent to ask. Agents that do not answer come last.
 func (d *Dispatcher) nextCandidate(now time.Time, e *entry) *agent {
 	untried := func(a *agent) bool { return !e.wasTried(a.address) }
--- a/internal/segment/registry/follower.go
+++ b/internal/segment/registry/follower.go
@@ -30,6 +30,9 @@
 	Pause time.Duration
 	// Changed takes the entries by key after each change. It must be set.
 	Changed func(entries map[string]store.Entry)
+	// Reached is told when the store is lost and when it is back. Empty means that
+	// nobody is.
+	Reached func(reached bool)
 	// Logger takes the loss and return of the store. It must be set.
 	Logger log.Logger
 }
@@ -39,6 +42,8 @@
 	config  FollowerConfig
 	entries map[string]store.Entry
 	lost    bool
+	// told is set once Reached was called.
+	told bool
 }
 
 // NewFollower checks c and returns a follower that Run starts.
@@ -134,10 +139,13 @@
 // report logs when the store is lost and when it is back.
 func (f *Follower) report(err error) {
 	lost := err != nil
-	if lost == f.lost {
+	if lost == f.lost && f.told {
 		return
 	}
-	f.lost = lost
+	f.lost, f.told = lost, true
+	if f.config.Reached != nil {
+		f.config.Reached(!lost)
+	}
 	if lost {
 		logLine(level.Warn(f.config.Logger), "event", "store_lost", "prefix", f.config.Prefix, "err", err)
 		return
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -72,7 +72,10 @@
 	offered time.Time
 	expires time.Time
 	// missed is set when the offer was counted as unanswered.
-	missed, ended bool
+	missed bool
+	// callerDone and hostDone are set once that end has sent a FIN. The flow has
+	// ended when both have, or at a reset.
+	callerDone, hostDone, ended bool
 }
 
 // Relay is the decision core of an agent. It is not safe for concurrent use.
@@ -167,9 +170,8 @@
 	if f.state == stateOpen {
 		decisions = append(decisions, r.tell(key, f)...)
 	}
-	if s.Flags.Has(packet.RST) {
-		r.end(now, f)
-	}
+	f.callerDone = f.callerDone || s.Flags.Has(packet.FIN)
+	r.endIfDone(now, f, s)
 	return decisions
 }
 
@@ -210,9 +212,8 @@
 	if s.Length > 0 {
 		r.response(now, f)
 	}
-	if s.Flags.Has(packet.FIN) || s.Flags.Has(packet.RST) {
-		r.end(now, f)
-	}
+	f.hostDone = f.hostDone || s.Flags.Has(packet.FIN)
+	r.endIfDone(now, f, s)
 	return append(decisions, r.tell(key, f)...)
 }
 
@@ -272,8 +273,11 @@
 	delete(r.flows, key)
 }
 
-// end marks a flow as ended by one of its ends.
-func (r *Relay) end(now time.Time, f *entry) {
+// endIfDone marks a flow as ended after a reset, or when both ends have sent a FIN.
+func (r *Relay) endIfDone(now time.Time, f *entry, s *packet.Segment) {
+	if !s.Flags.Has(packet.RST) && !(f.callerDone && f.hostDone) {
+		return
+	}
 	r.idle(now, f)
 	f.ended, f.expires = true, now.Add(endedTime)
 }
--- a/internal/segment/relay/relay_test.go
+++ b/internal/segment/relay/relay_test.go
@@ -238,3 +238,18 @@
 	b.Expire(b.now)
 	b.is.Equal(b.Load(b.now).Flows, 0)
 }
+
+// Guards against a flow that is forgotten, and then reset, because its host has
+// sent a FIN while the caller has not.
+func TestHalfClosedFlow(t *testing.T) {
+	b := newBench(t, false)
+	b.open()
+	b.HandleFromHost(b.now, fromHost(packet.FIN|packet.ACK, 6001, 0))
+	b.later(endedTime + time.Second)
+	b.Expire(b.now)
+	b.delivered(b.toHost(fromCaller(packet.ACK, 400, 6002, 0)))
+	b.delivered(b.toHost(fromCaller(packet.FIN|packet.ACK, 400, 6002, 0)))
+	b.later(endedTime + time.Second)
+	b.Expire(b.now)
+	b.is.Equal(b.Load(b.now).Flows, 0)
+}
