relay: Keep flows that were seen before the first heartbeat

An agent that restarted beside its host saw packets of open flows before the host's first heartbeat, took that heartbeat for a new start of the host, and reset the flows. The test failed first.

--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -90,7 +90,9 @@
 		return VerdictSuperseded, nil
 	}
 	first := h.id == ""
-	decisions = r.dropFlows(ReasonHostRestarted)
+	if !first {
+		decisions = r.dropFlows(ReasonHostRestarted)
+	}
 	// An agent that starts after its host may have missed flows of the host.
 	r.host = host{id: b.ID, born: b.Born, complete: !first || b.Sequence <= 1, answered: now, since: now}
 	r.update(now, b)
--- a/internal/segment/relay/relay_test.go
+++ b/internal/segment/relay/relay_test.go
@@ -264,3 +264,17 @@
 	b.is.Equal(len(decisions), 2)
 	b.is.Equal(decisions[1], Accept{Flow: fromHost(0, 0, 0).FromHost(), Balancer: balancer})
 }
+
+// Guards against resets of open flows when an agent that restarted beside its host
+// sees the host's packets before its first heartbeat.
+func TestAgentRestartsBesideHost(t *testing.T) {
+	is := is.New(t)
+	r, err := New(Config{Service: "studio", Heartbeat: heartbeat})
+	is.NoErr(err)
+	r.HandleFromBalancer(start, balancer, label, fromCaller(packet.ACK, 400, 6000, 300))
+	r.HandleFromHost(start, fromHost(packet.ACK, 6000, 100))
+	verdict, decisions := r.HandleHeartbeat(start, Heartbeat{ID: "i-1", Born: 1000, Sequence: 40, State: packet.HostReady, Slots: 2})
+	is.Equal(verdict, VerdictNewHost)
+	is.Equal(len(decisions), 0)
+	is.Equal(r.Load(start).Flows, 1)
+}
