--- a/internal/process/logging/decisions.go
+++ b/internal/process/logging/decisions.go
@@ -10,16 +10,16 @@
 )
 
 const (
-	// eventRate is how many lines a second each event may write over time, and
-	// eventBurst how many at once.
+	// eventRate is how many lines a second each reason of an event may write over
+	// time, and eventBurst how many at once.
 	eventRate  = 5
 	eventBurst = 20
 	// queueLines bounds the lines that wait for the writer.
 	queueLines = 1024
 )
 
-// Decisions logs decisions on single requests. Each event has a budget of its
-// own, so that frequent events do not displace rare ones.
+// Decisions logs decisions on single requests. Each reason of an event has a
+// budget of its own, so that frequent decisions do not displace rare ones.
 type Decisions struct {
 	logger log.Logger
 
@@ -38,14 +38,18 @@
 	return &Decisions{logger: logger, budgets: make(map[string]*budget)}
 }
 
-// Log writes a line unless the budget of the event is used up. The next line
-// says how many were left out. The set of events must be bounded.
-func (d *Decisions) Log(now time.Time, event string, keyvals ...any) {
-	omitted, ok := d.take(now, event)
+// Log writes a line unless the budget of the event and reason is used up. The next
+// line says how many were left out. The sets of events and reasons must be bounded;
+// the reason may be empty.
+func (d *Decisions) Log(now time.Time, event, reason string, keyvals ...any) {
+	omitted, ok := d.take(now, event+"/"+reason)
 	if !ok {
 		return
 	}
-	line := append(make([]any, 0, len(keyvals)+4), "event", event)
+	line := append(make([]any, 0, len(keyvals)+6), "event", event)
+	if reason != "" {
+		line = append(line, "reason", reason)
+	}
 	if omitted > 0 {
 		line = append(line, "omitted", omitted)
 	}
@@ -53,13 +57,13 @@
 	_ = level.Info(d.logger).Log(append(line, keyvals...)...)
 }
 
-func (d *Decisions) take(now time.Time, event string) (omitted int, ok bool) {
+func (d *Decisions) take(now time.Time, key string) (omitted int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := d.budgets[event]
+	b := d.budgets[key]
 	if b == nil {
 		b = &budget{tokens: eventBurst, filled: now}
-		d.budgets[event] = b
+		d.budgets[key] = b
 	}
 	b.tokens = min(b.tokens+now.Sub(b.filled).Seconds()*eventRate, eventBurst)
 	b.filled = now
--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -213,7 +213,7 @@
 
 func (a *Agent) malformed(now time.Time, what string, err error) {
 	a.config.Metrics.Counter("packets.malformed").Inc(1)
-	a.decisions.Log(now, "malformed", "what", what, "err", err)
+	a.decisions.Log(now, "malformed", what, "err", err)
 }
 
 // execute carries out decisions. The lock is held, so that the packets of a flow
@@ -229,19 +229,19 @@
 			a.send(a.packets, netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), d.Data)
 		case relay.Return:
 			a.config.Metrics.Counter("packets.returned." + d.Reason.String()).Inc(1)
-			a.decisions.Log(now, "packet_returned", "flow", flowName(d.Flow), "balancer", d.Balancer, "reason", d.Reason,
+			a.decisions.Log(now, "packet_returned", d.Reason.String(), "flow", flowName(d.Flow), "balancer", d.Balancer,
 				"host", a.core.HostID(), "heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
 			a.tell(d.Balancer, message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)})
 		case relay.Accept:
-			a.decisions.Log(now, "flow_accepted", "flow", flowName(d.Flow), "balancer", d.Balancer, "host", a.core.HostID(), "handshake", d.Handshake)
+			a.decisions.Log(now, "flow_accepted", "", "flow", flowName(d.Flow), "balancer", d.Balancer, "host", a.core.HostID(), "handshake", d.Handshake)
 			a.tell(d.Balancer, message.Accepted{Flow: d.Flow, Sequence: d.Sequence, Handshake: d.Handshake, Load: a.core.Load(now)})
 		case relay.Reset:
 			a.config.Metrics.Counter("packets.reset." + string(d.Reason)).Inc(1)
-			a.decisions.Log(now, "flow_reset", "flow", flowName(d.Flow), "reason", d.Reason, "host", a.core.HostID())
+			a.decisions.Log(now, "flow_reset", string(d.Reason), "flow", flowName(d.Flow), "host", a.core.HostID())
 			a.send(a.packets, netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), a.config.Codec.Reset(d.Flow, d.Sequence))
 		case relay.Drop:
 			a.config.Metrics.Counter("packets.dropped." + string(d.Reason)).Inc(1)
-			a.decisions.Log(now, "packet_dropped", "flow", flowName(d.Flow), "reason", d.Reason, "host", a.core.HostID())
+			a.decisions.Log(now, "packet_dropped", string(d.Reason), "flow", flowName(d.Flow), "host", a.core.HostID())
 		}
 	}
 }
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -120,5 +120,5 @@
 // RejectHeartbeat counts a heartbeat that names no host to use.
 func (a *Agent) RejectHeartbeat(id string, err error) {
 	a.config.Metrics.Counter("heartbeats.rejected").Inc(1)
-	a.decisions.Log(time.Now(), "heartbeat_rejected", "host", id, "err", err)
+	a.decisions.Log(time.Now(), "heartbeat_rejected", "", "host", id, "err", err)
 }
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -215,7 +215,7 @@
 
 func (b *Balancer) malformed(now time.Time, what string, err error) {
 	b.config.Metrics.Counter("packets.malformed").Inc(1)
-	b.decisions.Log(now, "malformed", "what", what, "err", err)
+	b.decisions.Log(now, "malformed", what, "err", err)
 }
 
 // execute carries out decisions. The lock is held, so that the packets of a flow
@@ -228,16 +228,17 @@
 			b.send(b.packets, netip.AddrPortFrom(d.Agent, b.config.PacketPort), d.Data)
 			b.config.Metrics.Counter("packets.forwarded." + string(d.Step)).Inc(1)
 			if d.Step != dispatch.StepOwner {
-				b.decisions.Log(now, "packet_"+string(d.Step), "flow", flowName(d.Flow), "agent", d.Agent, "config_version", b.core.Routes().Version())
+				b.decisions.Log(now, "packet_"+string(d.Step), "", "flow", flowName(d.Flow), "agent", d.Agent,
+					"status_age_ms", now.Sub(d.Heard).Milliseconds(), "config_version", b.core.Routes().Version())
 			}
 		case dispatch.Reset:
 			caller := netip.AddrPortFrom(d.Flow.Source().Addr(), b.config.PacketPort)
 			b.send(b.packets, caller, b.config.Codec.Reset(d.Flow, d.Sequence))
 			b.config.Metrics.Counter("packets.reset." + string(d.Reason)).Inc(1)
-			b.decisions.Log(now, "flow_reset", "flow", flowName(d.Flow), "reason", d.Reason, "config_version", b.core.Routes().Version())
+			b.decisions.Log(now, "flow_reset", string(d.Reason), "flow", flowName(d.Flow), "config_version", b.core.Routes().Version())
 		case dispatch.Drop:
 			b.config.Metrics.Counter("packets.dropped." + string(d.Reason)).Inc(1)
-			b.decisions.Log(now, "packet_dropped", "flow", flowName(d.Flow), "reason", d.Reason, "config_version", b.core.Routes().Version())
+			b.decisions.Log(now, "packet_dropped", string(d.Reason), "flow", flowName(d.Flow), "config_version", b.core.Routes().Version())
 		}
 	}
 }
--- a/internal/segment/balancer/view.go
+++ b/internal/segment/balancer/view.go
@@ -127,7 +127,7 @@
 	response, err := datapathpb.NewViewServiceClient(client, base).GetView(ctx,
 		connect.NewRequest(&datapathpb.GetViewRequest{ConfigVersion: have}))
 	if err != nil {
-		b.decisions.Log(time.Now(), "view_not_read", "balancer", target, "err", err)
+		b.decisions.Log(time.Now(), "view_not_read", "", "balancer", target, "err", err)
 		return
 	}
 	view := response.Msg
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"agateramp/internal/core/flow"
 )
@@ -57,7 +58,9 @@
 	Agent   netip.Addr
 	Service uint32
 	Step    Step
-	Data    []byte
+	// Heard is when the agent was last heard of.
+	Heard time.Time
+	Data  []byte
 }
 
 // Reset ends a flow towards its caller. No host holds the flow.
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -170,11 +170,16 @@
 }
 
 func (d *Dispatcher) forward(e *entry, agent netip.Addr, step Step, data []byte) (decisions []Decision) {
-	service := e.service
-	if a := d.agents[agent]; a != nil && step != StepOffer && step != StepNextOffer && step != StepHedge {
-		service = a.tag
+	f := Forward{Flow: e.key, Agent: agent, Service: e.service, Step: step, Data: data}
+	a := d.agents[agent]
+	if a == nil {
+		return []Decision{f}
 	}
-	return []Decision{Forward{Flow: e.key, Agent: agent, Service: service, Step: step, Data: data}}
+	f.Heard = a.heard
+	if step != StepOffer && step != StepNextOffer && step != StepHedge {
+		f.Service = a.tag
+	}
+	return []Decision{f}
 }
 
 // handleLater decides on a packet of a flow that is known.
