dispatch, relay: Let first packets wait for a host with room, newest first

Cause: after a loss of power all callers return within half a second. Agents now return first packets when their host has twice its slots and two more to do; balancers keep them for at most 1.2 s and offer the newest first.

--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -48,6 +48,7 @@
 		if waited := b.core.HandleAccepted(now, from, m.Flow, m.Sequence, m.Handshake, m.Load); waited > 0 {
 			b.config.Metrics.Latency("latency.placement_us", waited)
 		}
+		b.wakeTimer()
 	case message.Returned:
 		s, err := b.config.Codec.Decode(m.Packet)
 		if err != nil {
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -50,6 +50,8 @@
 	// placed counts the flows offered since the last load report, and misses the
 	// offers in a row that stayed without an answer.
 	placed, misses int
+	// fullUntil is until when the host is taken to be full.
+	fullUntil time.Time
 }
 
 // takes reports whether the host may be offered new flows.
@@ -134,7 +136,7 @@
 	if a == nil {
 		return nil
 	}
-	a.heard, a.misses = now, 0
+	a.heard, a.misses, a.fullUntil = now, 0, time.Time{}
 	if l.Slots > 0 {
 		a.status.Load, a.placed = l, 0
 	}
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -18,6 +18,8 @@
 	StepNextOffer Step = "next_offer"
 	// StepHedge offers it to another host because the last one has not answered.
 	StepHedge Step = "hedge"
+	// StepQueued offers a first packet that has waited because every host was full.
+	StepQueued Step = "queued"
 	// StepRepeat sends a copy of a first packet after an earlier one.
 	StepRepeat Step = "repeat"
 	// StepOwner sends a packet to the host that holds its flow.
@@ -41,6 +43,10 @@
 	ReasonHostLost Reason = "host_lost"
 	// ReasonHeldNowhere means that every host was asked and none holds the flow.
 	ReasonHeldNowhere Reason = "held_nowhere"
+	// ReasonQueued is a copy of a first packet that waits for a host with room.
+	ReasonQueued Reason = "queued"
+	// ReasonOverload means that no host had room in time.
+	ReasonOverload Reason = "overload"
 	// ReasonNotFound means that no reachable host holds the flow.
 	ReasonNotFound Reason = "not_found"
 	// ReasonStarting means that hosts or configuration are not known yet.
@@ -79,3 +85,9 @@
 func (Forward) decision() {}
 func (Reset) decision()   {}
 func (Drop) decision()    {}
+
+// offers reports whether the step offers a flow to a host of the service that the
+// flow is for; other packets go to whatever service the agent's host has.
+func (s Step) offers() bool {
+	return s == StepOffer || s == StepNextOffer || s == StepHedge || s == StepQueued
+}
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -50,6 +50,7 @@
 	flows   *table
 	// pending holds the entries with a deadline.
 	pending []*entry
+	queue   queue
 	// listedAt is when the store's list of agents was first read.
 	listedAt time.Time
 	// complete is set while the store has every agent that can be reached.
@@ -134,6 +135,8 @@
 	switch {
 	case e.phase == phaseSettled:
 		return d.forward(e, e.owner, StepRepeat, s.Data)
+	case e.phase == phaseQueued:
+		return []Decision{Drop{Flow: e.key, Reason: ReasonQueued}}
 	case len(e.answers) > 0:
 		return d.forward(e, e.answers[0].agent, StepRepeat, s.Data)
 	}
@@ -159,6 +162,9 @@
 		// A host that has not answered may still take the flow.
 		return nil
 	}
+	if d.mayQueue(now, e) {
+		return d.enqueue(now, e, data)
+	}
 	if len(e.tried) == 0 && copies < lastCopy {
 		// Hosts that restart are back before the caller's last copy.
 		return []Decision{Drop{Flow: e.key, Reason: ReasonNoHost}}
@@ -176,7 +182,7 @@
 		return []Decision{f}
 	}
 	f.Heard = a.heard
-	if step != StepOffer && step != StepNextOffer && step != StepHedge {
+	if !step.offers() {
 		f.Service = a.tag
 	}
 	return []Decision{f}
@@ -187,7 +193,7 @@
 	switch e.phase {
 	case phaseSettled:
 		return d.forward(e, e.owner, StepOwner, s.Data)
-	case phaseOpening:
+	case phaseOpening, phaseQueued:
 		if owner, ok := e.match(s.Acknowledgement); ok {
 			e.settle(owner)
 			return d.forward(e, owner, StepOwner, s.Data)
@@ -243,7 +249,13 @@
 	if e.opened && len(e.answers) == 0 {
 		waited = now.Sub(e.began)
 	}
+	// The host may have room for another flow that waits.
+	d.queue.at = now
 	e.deadline, e.packet = time.Time{}, nil
+	if e.phase == phaseQueued {
+		// A host that was asked before the flow began to wait has taken it.
+		e.phase = phaseOpening
+	}
 	for i := range e.answers {
 		if e.answers[i].agent == agent {
 			e.answers[i].sequence = sequence
@@ -257,8 +269,12 @@
 // HandleReturned decides on a packet that an agent gave back.
 func (d *Dispatcher) HandleReturned(now time.Time, agent netip.Addr, s *packet.Segment, reason packet.ReturnReason, l packet.Load) (decisions []Decision) {
 	a := d.handleLoad(now, agent, l)
-	if a != nil && reason == packet.ReturnDraining {
+	switch {
+	case a == nil:
+	case reason == packet.ReturnDraining:
 		a.status.State = packet.HostDraining
+	case reason == packet.ReturnBusy:
+		a.fullUntil = now.Add(fullTime)
 	}
 	key := s.FromCaller()
 	e := d.flows.get(now, key)
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -15,6 +15,8 @@
 const (
 	// phaseOpening: the first packet was offered and the flow is not open yet.
 	phaseOpening phase = iota
+	// phaseQueued: every host is full, and the first packet waits here.
+	phaseQueued
 	// phaseSearching: the host that holds the flow is looked for.
 	phaseSearching
 	// phaseLost: no reachable host holds the flow.
--- /dev/null
+++ b/internal/segment/dispatch/queue.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// fullTime is how long a host that has returned a first packet as busy gets no
+	// other one, unless it is heard of before.
+	fullTime = 20 * time.Millisecond
+	// queueTime bounds the wait of a first packet for a host with room. Callers give
+	// up 1.4 s after their first packet.
+	queueTime = 1200 * time.Millisecond
+	// maxQueued bounds the first packets that wait.
+	maxQueued = 2048
+)
+
+// queue holds the flows whose first packet waits for a host with room. The newest
+// goes first: under overload the oldest are late already, and serving them in
+// order would make all others late too.
+type queue struct {
+	waiting []*entry
+	// at is when the queue is looked at next.
+	at time.Time
+}
+
+// mayQueue reports whether a first packet should wait because hosts of its service
+// take flows but all of them are full.
+func (d *Dispatcher) mayQueue(now time.Time, e *entry) bool {
+	if now.Sub(e.began) >= queueTime || len(d.queue.waiting) >= maxQueued {
+		return false
+	}
+	return slices.ContainsFunc(d.order, func(a *agent) bool {
+		return a.known && a.tag == e.service && a.takes(now) && now.Before(a.fullUntil)
+	})
+}
+
+func (d *Dispatcher) enqueue(now time.Time, e *entry, data []byte) (decisions []Decision) {
+	e.phase, e.tried, e.refused, e.deadline = phaseQueued, nil, 0, time.Time{}
+	e.packet = append(e.packet[:0:0], data...)
+	if len(d.queue.waiting) == 0 {
+		d.queue.at = now.Add(fullTime)
+	}
+	d.queue.waiting = append(d.queue.waiting, e)
+	return []Decision{Drop{Flow: e.key, Reason: ReasonQueued}}
+}
+
+// release offers waiting flows to hosts that may have room, newest first, and ends
+// those that have waited for too long.
+func (d *Dispatcher) release(now time.Time) (decisions []Decision) {
+	if len(d.queue.waiting) == 0 || now.Before(d.queue.at) {
+		return nil
+	}
+	waiting := d.queue.waiting
+	d.queue.waiting = nil
+	d.queue.at = now.Add(fullTime)
+	var kept []*entry
+	for _, e := range slices.Backward(waiting) {
+		if e.phase != phaseQueued || d.flows.flows[e.key] != e {
+			continue
+		}
+		a := d.place(now, e)
+		switch {
+		case a != nil:
+			// One offer at a time tells whether the host has room.
+			a.fullUntil = now.Add(fullTime)
+			a.placed++
+			e.phase, e.tried = phaseOpening, append(e.tried, a.address)
+			packet := e.packet
+			d.wait(now, e, packet, offerTimeout)
+			decisions = append(decisions, d.forward(e, a.address, StepQueued, packet)...)
+		case now.Sub(e.began) >= queueTime:
+			decisions = append(decisions, d.reset(e, 0, ReasonOverload)...)
+		default:
+			kept = append(kept, e)
+		}
+	}
+	slices.Reverse(kept)
+	d.queue.waiting = append(kept, d.queue.waiting...)
+	return decisions
+}
--- a/internal/segment/dispatch/search.go
+++ b/internal/segment/dispatch/search.go
@@ -72,6 +72,9 @@
 			at, ok = e.deadline, true
 		}
 	}
+	if len(d.queue.waiting) > 0 && (!ok || d.queue.at.Before(at)) {
+		return d.queue.at, true
+	}
 	return at, ok
 }
 
@@ -89,7 +92,7 @@
 			decisions = append(decisions, d.next(now, e)...)
 		}
 	}
-	return decisions
+	return append(decisions, d.release(now)...)
 }
 
 func (d *Dispatcher) next(now time.Time, e *entry) (decisions []Decision) {
@@ -102,7 +105,7 @@
 		return d.offer(now, e, data, StepHedge, 0)
 	case phaseSearching:
 		return d.search(now, e, data)
-	case phaseLost, phaseSettled:
+	case phaseLost, phaseSettled, phaseQueued:
 	}
 	return nil
 }
--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -20,6 +20,11 @@
 	// missedAnswers is how many first packets in a row a host may miss before it is
 	// taken to be unresponsive.
 	missedAnswers = 3
+	// A host gets new flows while its work is below waitFactor times its slots and
+	// waitExtra. Work that waits longer than work in progress takes would miss what
+	// callers expect, and hosts shed what exceeds their queue.
+	waitFactor = 2
+	waitExtra  = 2
 	// trialInterval is how often an unresponsive host is offered a flow.
 	trialInterval = 300 * time.Millisecond
 )
@@ -166,5 +171,8 @@
 	if r.stopping {
 		return packet.ReturnNoHost, true
 	}
+	if r.load.busy+r.opening(now) >= waitFactor*r.host.slots+waitExtra {
+		return packet.ReturnBusy, true
+	}
 	return packet.ReturnUnspecified, false
 }
--- a/internal/segment/relay/load.go
+++ b/internal/segment/relay/load.go
@@ -39,7 +39,7 @@
 func (r *Relay) request(now time.Time, f *entry) {
 	if !f.busy {
 		r.load.advance(now, r.host.slots)
-		f.busy = true
+		f.busy, f.requested = true, true
 		r.load.busy++
 	}
 	f.asked = now
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -71,9 +71,10 @@
 	acknowledged uint32
 	balancer     netip.Addr
 	// told is the balancer that knows that the host holds the flow.
-	told  netip.Addr
-	busy  bool
-	asked time.Time
+	told netip.Addr
+	// busy is set while a request waits for its answer, requested once there was one.
+	busy, requested bool
+	asked           time.Time
 	// answered is when the host last sent a packet of the flow.
 	answered time.Time
 	offered  time.Time
@@ -94,7 +95,7 @@
 	maxFlows  int
 	host      host
 	flows     map[flow.Key]*entry
-	// offers holds the flows whose first packet the host has not answered.
+	// offers holds the flows that have been offered to the host lately.
 	offers   []flow.Key
 	load     load
 	answered func(took time.Duration)
@@ -305,14 +306,21 @@
 // whether the state of the host changed.
 func (r *Relay) Tick(now time.Time) (changed bool) {
 	before := r.State(now)
+	r.opening(now)
+	return r.State(now) != before
+}
+
+// opening returns the number of flows that were offered to the host lately and
+// have had no request yet. It counts first packets that went unanswered.
+func (r *Relay) opening(now time.Time) int {
 	kept := r.offers[:0]
 	for _, key := range r.offers {
 		f := r.flows[key]
 		switch {
-		case f == nil || f.state != stateOffered || f.missed:
+		case f == nil || f.state > stateAnswered || f.requested || f.missed:
 		case now.Sub(f.offered) < answerTimeout:
 			kept = append(kept, key)
-		default:
+		case f.state == stateOffered:
 			f.missed = true
 			if r.host.answered.Before(f.offered) {
 				r.host.unanswered++
@@ -320,7 +328,7 @@
 		}
 	}
 	r.offers = kept
-	return r.State(now) != before
+	return len(kept)
 }
 
 // Expire forgets flows that are idle or have ended.
--- a/internal/segment/relay/relay_test.go
+++ b/internal/segment/relay/relay_test.go
@@ -306,3 +306,22 @@
 	_, returned := decisions[0].(Return)
 	is.True(returned) // flows from before the agent's start are too old
 }
+
+// Guards against a host that gets more work than it can do in time while others
+// may have room.
+func TestFullHost(t *testing.T) {
+	b := newBench(t, false)
+	limit := uint16(waitFactor*b.beat.Slots + waitExtra)
+	for port := range limit {
+		s := fromCaller(packet.SYN, 100, 0, 0)
+		s.Source = netip.AddrPortFrom(caller.Addr(), 1000+port)
+		b.delivered(b.toHost(s))
+	}
+	b.returned(b.toHost(fromCaller(packet.SYN, 100, 0, 0)), packet.ReturnBusy)
+	s := fromCaller(packet.SYN, 100, 0, 0)
+	s.Source = netip.AddrPortFrom(caller.Addr(), 1000)
+	b.delivered(b.toHost(s)) // a copy of one that was taken
+	b.later(answerTimeout)
+	b.HandleFromHost(b.now, fromHost(packet.ACK, 1, 0)) // the host lives
+	b.delivered(b.toHost(fromCaller(packet.SYN, 100, 0, 0)))
+}
