--- a/internal/cli/hosted/hosted.go
+++ b/internal/cli/hosted/hosted.go
@@ -86,7 +86,7 @@
 
 // flags are the arguments of both roles.
 type flags struct {
-	Settings    string `env:"AGATERAMP_SETTINGS" required:"" help:"YAML file with the platform's settings of the process."`
+	Settings    string `help:"YAML file with the platform's settings of the process. Empty means the file that the platform's variable names."`
 	MetricsPort uint16 `default:"9464" help:"Port that serves metrics at /metrics; 0 for none."`
 }
 
@@ -105,6 +105,9 @@
 const softMemoryShare = 0.6
 
 func (f *flags) start(env *environment, role string, withHost bool) (p *process, finish func() error, err error) {
+	if f.Settings == "" {
+		f.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	s, err := platform.LoadSettings(f.Settings, withHost)
 	if err != nil {
 		return nil, nil, errors.WithMessage(errUsage, err.Error())
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -29,6 +29,9 @@
 	return log.With(logger, "ts", log.DefaultTimestampUTC, "process", c.Process, "data_centre", c.DataCentre)
 }
 
+// Line writes one line; one that cannot be written has no other place to go.
+func Line(logger log.Logger, keyvals ...any) { _ = logger.Log(keyvals...) }
+
 // limitedInterval is how often a Limited logs one event at most.
 const limitedInterval = time.Second
 
--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
-	"agateramp/internal/core/flow"
 	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
@@ -22,6 +20,7 @@
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/registry"
 	"agateramp/internal/segment/relay"
+	"agateramp/internal/segment/socket"
 )
 
 // Config configures an Agent.
@@ -86,16 +85,12 @@
 	removeTimeout = 500 * time.Millisecond
 	// settleTime lets handshakes end that are under way when the agent stops.
 	settleTime = 100 * time.Millisecond
-	// maxDatagram is the largest datagram that processes send each other.
-	maxDatagram = 8 << 10
-	// socketBytes is the receive buffer asked for; it holds a burst of uploads.
-	socketBytes = 1 << 20
 )
 
 // Agent is a running agent.
 type Agent struct {
 	config                Config
-	packets, peers, hosts *net.UDPConn
+	packets, peers, hosts *socket.Socket
 	keeper                *registry.Keeper
 	decisions             *logging.Decisions
 
@@ -133,29 +128,19 @@
 	if err != nil {
 		return nil, err
 	}
-	if a.packets, err = listen(netip.AddrPortFrom(c.Address, c.PacketPort)); err != nil {
+	if a.packets, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PacketPort), c.Metrics); err != nil {
 		return nil, err
 	}
-	if a.peers, err = listen(netip.AddrPortFrom(c.Address, c.PeerPort)); err != nil {
+	if a.peers, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PeerPort), c.Metrics); err != nil {
 		return nil, err
 	}
-	if a.hosts, err = listen(c.HostPackets); err != nil {
+	if a.hosts, err = socket.Listen(c.HostPackets, c.Metrics); err != nil {
 		return nil, err
 	}
 	a.start()
 	return a, nil
 }
 
-func listen(address netip.AddrPort) (conn *net.UDPConn, err error) {
-	conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return nil, err
-	}
-	// A smaller buffer drops packets earlier, which callers make up for.
-	_ = conn.SetReadBuffer(socketBytes)
-	return conn, nil
-}
-
 func (a *Agent) start() {
 	g := a.config.Group
 	g.Go("close sockets", func(ctx context.Context) error {
@@ -165,31 +150,15 @@
 		a.hosts.Close()
 		return nil
 	})
-	g.Go("packets", func(context.Context) error { return a.read(a.packets, a.handlePacket) })
-	g.Go("messages", func(context.Context) error { return a.read(a.peers, a.handleMessage) })
-	g.Go("host", func(context.Context) error { return a.read(a.hosts, a.handleHostPacket) })
+	g.Go("packets", func(context.Context) error { return a.packets.Read(a.handlePacket) })
+	g.Go("messages", func(context.Context) error { return a.peers.Read(a.handleMessage) })
+	g.Go("host", func(context.Context) error { return a.hosts.Read(a.handleHostPacket) })
 	g.Go("keep entry", a.keeper.Run)
 	g.Every("unanswered packets", tickInterval, a.tick)
 	g.Every("housekeeping", housekeepingInterval, a.keepHouse)
 	g.Every("seeds", lonelyInterval, a.tellSeeds)
 }
 
-func (a *Agent) read(conn *net.UDPConn, handle func(now time.Time, from netip.Addr, data []byte)) (err error) {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			// An error that a datagram's receiver sent back belongs to that datagram.
-			a.config.Metrics.Counter("socket.errors").Inc(1)
-			continue
-		}
-		handle(time.Now(), from.Addr().Unmap(), buffer[:n])
-	}
-}
-
 func (a *Agent) handlePacket(now time.Time, from netip.Addr, data []byte) {
 	s, err := a.config.Codec.Decode(data)
 	if err != nil {
@@ -224,38 +193,29 @@
 		switch d := decision.(type) {
 		case relay.Deliver:
 			a.config.Metrics.Counter("packets.delivered").Inc(1)
-			a.send(a.hosts, a.config.Host, d.Data)
+			a.hosts.Send(a.config.Host, d.Data)
 		case relay.ToCaller:
 			a.config.Metrics.Counter("packets.answered").Inc(1)
-			a.send(a.packets, netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), d.Data)
+			a.packets.Send(netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), d.Data)
 		case relay.Return:
 			a.config.Metrics.Counter("packets.returned." + d.Reason.String()).Inc(1)
-			a.decisions.Log(now, "packet_returned", d.Reason.String(), "flow", flowName(d.Flow), "balancer", d.Balancer,
+			a.decisions.Log(now, "packet_returned", d.Reason.String(), "flow", packet.FlowName(d.Flow), "balancer", d.Balancer,
 				"host", a.core.HostID(), "heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
 			a.tell(d.Balancer, message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)})
 		case relay.Accept:
-			a.decisions.Log(now, "flow_accepted", "", "flow", flowName(d.Flow), "balancer", d.Balancer, "host", a.core.HostID(), "handshake", d.Handshake)
+			a.decisions.Log(now, "flow_accepted", "", "flow", packet.FlowName(d.Flow), "balancer", d.Balancer, "host", a.core.HostID(), "handshake", d.Handshake)
 			a.tell(d.Balancer, message.Accepted{Flow: d.Flow, Sequence: d.Sequence, Handshake: d.Handshake, Load: a.core.Load(now)})
 		case relay.Reset:
 			a.config.Metrics.Counter("packets.reset." + string(d.Reason)).Inc(1)
-			a.decisions.Log(now, "flow_reset", string(d.Reason), "flow", flowName(d.Flow), "host", a.core.HostID())
-			a.send(a.packets, netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), a.config.Codec.Reset(d.Flow, d.Sequence))
+			a.decisions.Log(now, "flow_reset", string(d.Reason), "flow", packet.FlowName(d.Flow), "host", a.core.HostID())
+			a.packets.Send(netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), a.config.Codec.Reset(d.Flow, d.Sequence))
 		case relay.Drop:
 			a.config.Metrics.Counter("packets.dropped." + string(d.Reason)).Inc(1)
-			a.decisions.Log(now, "packet_dropped", string(d.Reason), "flow", flowName(d.Flow), "host", a.core.HostID())
+			a.decisions.Log(now, "packet_dropped", string(d.Reason), "flow", packet.FlowName(d.Flow), "host", a.core.HostID())
 		}
 	}
 }
 
-// flowName is the name of a flow in the logs of every process.
-func flowName(key flow.Key) string { return key.Source().String() + ">" + key.Destination().String() }
-
-func (a *Agent) send(conn *net.UDPConn, to netip.AddrPort, data []byte) {
-	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
-		a.config.Metrics.Counter("socket.errors").Inc(1)
-	}
-}
-
 func (a *Agent) tick() {
 	now := time.Now()
 	a.mu.Lock()
@@ -288,7 +248,7 @@
 	gone := a.core.State(now) == packet.HostGone
 	a.tellBalancers(now)
 	a.mu.Unlock()
-	logLine(level.Info(a.config.Logger), "event", "stopping", "host_gone", gone)
+	logging.Line(level.Info(a.config.Logger), "event", "stopping", "host_gone", gone)
 	if !gone {
 		time.Sleep(settleTime)
 		return
@@ -296,9 +256,6 @@
 	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
 	defer cancel()
 	if err := a.keeper.Remove(ctx); err != nil {
-		logLine(level.Warn(a.config.Logger), "event", "entry_not_removed", "err", err)
+		logging.Line(level.Warn(a.config.Logger), "event", "entry_not_removed", "err", err)
 	}
 }
-
-// logLine writes a line; one that cannot be written has no other place to go.
-func logLine(logger log.Logger, keyvals ...any) { _ = logger.Log(keyvals...) }
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"agateramp/internal/process/logging"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/relay"
 )
@@ -49,12 +50,9 @@
 }
 
 func (a *Agent) tell(address netip.Addr, m message.Message) {
-	data, err := message.Encode(m)
-	if err != nil {
-		logLine(level.Error(a.config.Logger), "event", "message_not_encoded", "err", err)
-		return
+	if err := a.peers.Tell(netip.AddrPortFrom(address, a.config.PeerPort), m); err != nil {
+		logging.Line(level.Error(a.config.Logger), "event", "message_not_encoded", "err", err)
 	}
-	a.send(a.peers, netip.AddrPortFrom(address, a.config.PeerPort), data)
 }
 
 // tellBalancers sends the status to every balancer. The lock is held.
@@ -86,7 +84,7 @@
 	if state == a.state {
 		return
 	}
-	logLine(level.Info(a.config.Logger), "event", "host_state_changed", "host", a.core.HostID(), "from", a.state, "to", state,
+	logging.Line(level.Info(a.config.Logger), "event", "host_state_changed", "host", a.core.HostID(), "from", a.state, "to", state,
 		"heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
 	a.state = state
 	a.tellBalancers(now)
@@ -99,7 +97,7 @@
 	defer a.mu.Unlock()
 	verdict, decisions := a.core.HandleHeartbeat(now, b)
 	if verdict != relay.VerdictAccepted {
-		logLine(level.Info(a.config.Logger), "event", "heartbeat_"+string(verdict), "host", b.ID, "born", b.Born,
+		logging.Line(level.Info(a.config.Logger), "event", "heartbeat_"+string(verdict), "host", b.ID, "born", b.Born,
 			"sequence", b.Sequence, "state", b.State, "current", a.core.HostID())
 	}
 	a.execute(now, decisions)
@@ -113,7 +111,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := a.core.HandleDeregister(id)
-	logLine(level.Info(a.config.Logger), "event", "host_deregistered", "host", id, "current", current)
+	logging.Line(level.Info(a.config.Logger), "event", "host_deregistered", "host", id, "current", current)
 	a.announceState(now)
 }
 
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -21,6 +20,7 @@
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/registry"
 	"agateramp/internal/segment/routes"
+	"agateramp/internal/segment/socket"
 )
 
 // Config configures a Balancer.
@@ -71,8 +71,8 @@
 // Balancer is a running balancer.
 type Balancer struct {
 	config    Config
-	packets   *net.UDPConn
-	peers     *net.UDPConn
+	packets   *socket.Socket
+	peers     *socket.Socket
 	decisions *logging.Decisions
 	// wake tells the timer that a deadline was set.
 	wake chan struct{}
@@ -116,10 +116,10 @@
 		config: c, core: core, decisions: logging.NewDecisions(c.Logger), balancers: make(map[netip.Addr]time.Time),
 		wake: make(chan struct{}, 1), wanted: make(chan netip.Addr, 16),
 	}
-	if b.packets, err = listen(c.Address, c.PacketPort); err != nil {
+	if b.packets, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PacketPort), c.Metrics); err != nil {
 		return nil, err
 	}
-	if b.peers, err = listen(c.Address, c.PeerPort); err != nil {
+	if b.peers, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PeerPort), c.Metrics); err != nil {
 		return nil, err
 	}
 	if err = b.start(); err != nil {
@@ -128,19 +128,6 @@
 	return b, nil
 }
 
-// socketBytes is the receive buffer asked for; it holds a burst of uploads.
-const socketBytes = 1 << 20
-
-func listen(address netip.Addr, port uint16) (conn *net.UDPConn, err error) {
-	conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, port)))
-	if err != nil {
-		return nil, err
-	}
-	// A smaller buffer drops packets earlier, which callers make up for.
-	_ = conn.SetReadBuffer(socketBytes)
-	return conn, nil
-}
-
 func (b *Balancer) start() (err error) {
 	config, err := registry.NewFollower(registry.FollowerConfig{
 		Store: b.config.Store, Prefix: b.config.ConfigKey, Pause: configPause, Changed: b.configChanged, Reached: b.storeReached, Logger: b.config.Logger,
@@ -164,8 +151,8 @@
 		b.peers.Close()
 		return nil
 	})
-	g.Go("packets", func(context.Context) error { return b.read(b.packets, b.handlePacket) })
-	g.Go("messages", func(context.Context) error { return b.read(b.peers, b.handleMessage) })
+	g.Go("packets", func(context.Context) error { return b.packets.Read(b.handlePacket) })
+	g.Go("messages", func(context.Context) error { return b.peers.Read(b.handleMessage) })
 	g.Go("timer", b.runTimer)
 	g.Go("greet agents", b.greet)
 	g.Go("pull views", b.pull)
@@ -181,27 +168,8 @@
 	agentsPause = 200 * time.Millisecond
 	// housekeepingInterval is how often idle flows are forgotten and gauges set.
 	housekeepingInterval = time.Second
-	// maxDatagram is the largest datagram that processes send each other.
-	maxDatagram = 8 << 10
 )
 
-// read hands each datagram of a socket to handle until the socket is closed.
-func (b *Balancer) read(conn *net.UDPConn, handle func(now time.Time, from netip.Addr, data []byte)) (err error) {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			// An error that a datagram's receiver sent back belongs to that datagram.
-			b.config.Metrics.Counter("socket.errors").Inc(1)
-			continue
-		}
-		handle(time.Now(), from.Addr().Unmap(), buffer[:n])
-	}
-}
-
 func (b *Balancer) handlePacket(now time.Time, _ netip.Addr, data []byte) {
 	s, err := b.config.Codec.Decode(data)
 	if err != nil {
@@ -227,30 +195,24 @@
 		switch d := decision.(type) {
 		case dispatch.Forward:
 			b.config.Codec.SetLabel(d.Data, packet.Label{Service: d.Service, Ask: d.Step == dispatch.StepSearch})
-			b.send(b.packets, netip.AddrPortFrom(d.Agent, b.config.PacketPort), d.Data)
+			b.packets.Send(netip.AddrPortFrom(d.Agent, b.config.PacketPort), d.Data)
 			b.config.Metrics.Counter("packets.forwarded." + string(d.Step)).Inc(1)
 			if d.Step != dispatch.StepOwner {
-				b.decisions.Log(now, "packet_"+string(d.Step), "", "flow", flowName(d.Flow), "agent", d.Agent,
+				b.decisions.Log(now, "packet_"+string(d.Step), "", "flow", packet.FlowName(d.Flow), "agent", d.Agent,
 					"status_age_ms", now.Sub(d.Heard).Milliseconds(), "config_version", b.core.Routes().Version())
 			}
 		case dispatch.Reset:
 			caller := netip.AddrPortFrom(d.Flow.Source().Addr(), b.config.PacketPort)
-			b.send(b.packets, caller, b.config.Codec.Reset(d.Flow, d.Sequence))
+			b.packets.Send(caller, b.config.Codec.Reset(d.Flow, d.Sequence))
 			b.config.Metrics.Counter("packets.reset." + string(d.Reason)).Inc(1)
-			b.decisions.Log(now, "flow_reset", string(d.Reason), "flow", flowName(d.Flow), "config_version", b.core.Routes().Version())
+			b.decisions.Log(now, "flow_reset", string(d.Reason), "flow", packet.FlowName(d.Flow), "config_version", b.core.Routes().Version())
 		case dispatch.Drop:
 			b.config.Metrics.Counter("packets.dropped." + string(d.Reason)).Inc(1)
-			b.decisions.Log(now, "packet_dropped", string(d.Reason), "flow", flowName(d.Flow), "config_version", b.core.Routes().Version())
+			b.decisions.Log(now, "packet_dropped", string(d.Reason), "flow", packet.FlowName(d.Flow), "config_version", b.core.Routes().Version())
 		}
 	}
 }
 
-func (b *Balancer) send(conn *net.UDPConn, to netip.AddrPort, data []byte) {
-	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
-		b.config.Metrics.Counter("socket.errors").Inc(1)
-	}
-}
-
 // wakeTimer makes the timer look at the deadlines if it waits for a later one.
 func (b *Balancer) wakeTimer() {
 	at, waits := b.core.Next()
@@ -349,7 +311,7 @@
 		return
 	}
 	b.ready = ready
-	logLine(level.Info(b.config.Logger), "event", "readiness_changed", "ready", ready, "stopping", b.stopping,
+	logging.Line(level.Info(b.config.Logger), "event", "readiness_changed", "ready", ready, "stopping", b.stopping,
 		"config_version", b.core.Routes().Version(), "agents_answering", b.core.Answering(now), "agents_known", len(b.core.Agents()))
 }
 
@@ -369,7 +331,7 @@
 	b.mu.Lock()
 	b.stopping = true
 	b.mu.Unlock()
-	logLine(level.Info(b.config.Logger), "event", "stopping")
+	logging.Line(level.Info(b.config.Logger), "event", "stopping")
 	deadline := started.Add(b.config.StopTime)
 	for now := started; now.Before(deadline); now = time.Now() {
 		time.Sleep(100 * time.Millisecond)
@@ -381,6 +343,3 @@
 		}
 	}
 }
-
-// logLine writes a line; one that cannot be written has no other place to go.
-func logLine(logger log.Logger, keyvals ...any) { _ = logger.Log(keyvals...) }
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -9,10 +9,11 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
-	"agateramp/internal/core/flow"
 	"agateramp/internal/keyvalue/store"
+	"agateramp/internal/process/logging"
 	"agateramp/internal/segment/dispatch"
 	"agateramp/internal/segment/message"
+	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/registry"
 )
 
@@ -25,9 +26,6 @@
 	balancerTime = 3 * time.Second
 )
 
-// flowName is the name of a flow in the logs of every process.
-func flowName(key flow.Key) string { return key.Source().String() + ">" + key.Destination().String() }
-
 func (b *Balancer) handleMessage(now time.Time, from netip.Addr, data []byte) {
 	m, err := message.Decode(data)
 	if err != nil {
@@ -51,7 +49,7 @@
 			return
 		}
 		b.config.Metrics.Counter("packets.returned." + m.Reason.String()).Inc(1)
-		b.decisions.Log(now, "packet_returned", m.Reason.String(), "flow", flowName(s.FromCaller()), "agent", from, "first", s.First())
+		b.decisions.Log(now, "packet_returned", m.Reason.String(), "flow", packet.FlowName(s.FromCaller()), "agent", from, "first", s.First())
 		b.execute(now, b.core.HandleReturned(now, from, &s, m.Reason, m.Load))
 		b.wakeTimer()
 	case message.Digest:
@@ -71,7 +69,7 @@
 		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: m.State, Load: m.Load, Cold: m.Cold, Stopping: m.Stopping,
 	})
 	if changed {
-		logLine(level.Info(b.config.Logger), "event", "host_changed", "agent", from, "node", m.Node, "service", m.Service,
+		logging.Line(level.Info(b.config.Logger), "event", "host_changed", "agent", from, "node", m.Node, "service", m.Service,
 			"state", m.State, "agent_stopping", m.Stopping)
 	}
 	for _, address := range m.Balancers {
@@ -190,12 +188,9 @@
 }
 
 func (b *Balancer) tell(address netip.Addr, m message.Message) {
-	data, err := message.Encode(m)
-	if err != nil {
-		logLine(level.Error(b.config.Logger), "event", "message_not_encoded", "err", err)
-		return
+	if err := b.peers.Tell(netip.AddrPortFrom(address, b.config.PeerPort), m); err != nil {
+		logging.Line(level.Error(b.config.Logger), "event", "message_not_encoded", "err", err)
 	}
-	b.send(b.peers, netip.AddrPortFrom(address, b.config.PeerPort), data)
 }
 
 // configChanged takes what the store holds under the configuration's key.
@@ -211,7 +206,7 @@
 func (b *Balancer) apply(raw []byte, source string) {
 	set, err := b.config.DecodeConfig(raw)
 	if err != nil {
-		logLine(level.Error(b.config.Logger), "event", "config_unreadable", "source", source, "err", err)
+		logging.Line(level.Error(b.config.Logger), "event", "config_unreadable", "source", source, "err", err)
 		return
 	}
 	b.mu.Lock()
@@ -219,7 +214,7 @@
 	applied := b.core.SetRoutes(set)
 	b.mu.Unlock()
 	if applied {
-		logLine(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
+		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
 			"routes", set.Len(), "unreadable_routes", set.Unreadable(), "source", source)
 	}
 }
@@ -231,7 +226,7 @@
 	for key, entry := range entries {
 		e, err := registry.DecodeEntry(entry.Value)
 		if err != nil {
-			logLine(level.Warn(b.config.Logger), "event", "entry_unreadable", "key", key, "revision", entry.ModRevision, "err", err)
+			logging.Line(level.Warn(b.config.Logger), "event", "entry_unreadable", "key", key, "revision", entry.ModRevision, "err", err)
 			continue
 		}
 		addresses = append(addresses, e.Address)
@@ -243,7 +238,7 @@
 	b.core.SetListed(now, addresses)
 	b.core.SetComplete(b.isComplete(now))
 	b.mu.Unlock()
-	logLine(level.Info(b.config.Logger), "event", "agents_listed", "count", len(addresses))
+	logging.Line(level.Info(b.config.Logger), "event", "agents_listed", "count", len(addresses))
 	for _, address := range addresses {
 		b.tell(address, message.Hello{})
 	}
--- a/internal/segment/balancer/view.go
+++ b/internal/segment/balancer/view.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"agateramp/internal/process/logging"
 	"agateramp/internal/segment/datapathpb"
 	"agateramp/internal/segment/message"
 )
@@ -144,5 +145,5 @@
 		}
 	}
 	b.mu.Unlock()
-	logLine(level.Debug(b.config.Logger), "event", "view_read", "balancer", target, "config_version", view.GetConfigVersion(), "agents", len(agents))
+	logging.Line(level.Debug(b.config.Logger), "event", "view_read", "balancer", target, "config_version", view.GetConfigVersion(), "agents", len(agents))
 }
--- a/internal/segment/packet/packet.go
+++ b/internal/segment/packet/packet.go
@@ -65,6 +65,9 @@
 	Ask bool
 }
 
+// FlowName returns the name of a flow in the logs of every process.
+func FlowName(key flow.Key) string { return key.Source().String() + ">" + key.Destination().String() }
+
 // Codec is the wire format of segments.
 type Codec interface {
 	// Decode reads a packet. The segment refers to the bytes of data.
--- a/internal/segment/registry/follower.go
+++ b/internal/segment/registry/follower.go
@@ -13,6 +13,7 @@
 
 	"agateramp/internal/keyvalue/backoff"
 	"agateramp/internal/keyvalue/store"
+	"agateramp/internal/process/logging"
 )
 
 // retry spaces calls to a store that does not answer. Refused calls count against
@@ -147,15 +148,12 @@
 		f.config.Reached(!lost)
 	}
 	if lost {
-		logLine(level.Warn(f.config.Logger), "event", "store_lost", "prefix", f.config.Prefix, "err", err)
+		logging.Line(level.Warn(f.config.Logger), "event", "store_lost", "prefix", f.config.Prefix, "err", err)
 		return
 	}
-	logLine(level.Info(f.config.Logger), "event", "store_regained", "prefix", f.config.Prefix, "entries", len(f.entries))
+	logging.Line(level.Info(f.config.Logger), "event", "store_regained", "prefix", f.config.Prefix, "entries", len(f.entries))
 }
 
-// logLine writes a line; one that cannot be written has no other place to go.
-func logLine(logger log.Logger, keyvals ...any) { _ = logger.Log(keyvals...) }
-
 func sleep(ctx context.Context, wait time.Duration) (err error) {
 	if wait <= 0 {
 		return nil
--- a/internal/segment/registry/keeper.go
+++ b/internal/segment/registry/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/keyvalue/store"
+	"agateramp/internal/process/logging"
 )
 
 const (
@@ -151,7 +152,7 @@
 		return
 	}
 	if current == nil || current.Lease != k.lease {
-		logLine(level.Warn(k.config.Logger), "event", "entry_missing", "key", k.config.Entry.Key())
+		logging.Line(level.Warn(k.config.Logger), "event", "entry_missing", "key", k.config.Entry.Key())
 		k.lease = 0
 	}
 }
@@ -163,8 +164,8 @@
 	}
 	k.lost = lost
 	if lost {
-		logLine(level.Warn(k.config.Logger), "event", "entry_not_renewed", "key", k.config.Entry.Key(), "err", err)
+		logging.Line(level.Warn(k.config.Logger), "event", "entry_not_renewed", "key", k.config.Entry.Key(), "err", err)
 		return
 	}
-	logLine(level.Info(k.config.Logger), "event", "entry_renewed", "key", k.config.Entry.Key(), "lease", k.lease)
+	logging.Line(level.Info(k.config.Logger), "event", "entry_renewed", "key", k.config.Entry.Key(), "lease", k.lease)
 }
