registry: Look for a missing entry once a second at most

Cause, found by reading: a balancer whose list of agents was not read yet, or whose store was away, told every agent with each status request that its entry is missing, and each agent then read the store each time. Balancers now say so only with a current list, and an agent looks at most once a second.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -89,8 +89,6 @@
 	listed    bool
 
 	balancers map[netip.Addr]time.Time
-	// newest is the newest configuration that another process has told of.
-	newest uint64
 	// timerAt is when the timer looks at the deadlines next.
 	timerAt time.Time
 	// nextAgent is the index of the agent that is asked for its status next.
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -84,7 +84,6 @@
 
 // heardVersion asks a balancer for its view if it has a newer configuration.
 func (b *Balancer) heardVersion(holder netip.Addr, version uint64) {
-	b.newest = max(b.newest, version)
 	if version > b.core.Routes().Version() {
 		b.want(holder)
 	}
@@ -140,7 +139,7 @@
 	version := b.core.Routes().Version()
 	unlisted := make(map[netip.Addr]bool)
 	for _, address := range agents {
-		unlisted[address] = !b.core.Listed(address)
+		unlisted[address] = b.listed && !b.storeDown && !b.core.Listed(address)
 	}
 	b.mu.Unlock()
 	for _, address := range agents {
--- a/internal/segment/registry/keeper.go
+++ b/internal/segment/registry/keeper.go
@@ -16,6 +16,9 @@
 	// leaseSeconds is the lifetime of an agent's entry. Balancers judge the agent by
 	// its answers, so the entry may outlive it for a while.
 	leaseSeconds = 10
+	// verifyInterval is the least time between two looks whether the entry is there.
+	// Every balancer asks for one while its list is older than the entry.
+	verifyInterval = time.Second
 	// renewInterval leaves two more attempts before the lease expires.
 	renewInterval = 3 * time.Second
 )
@@ -35,9 +38,12 @@
 	config KeeperConfig
 	value  []byte
 	lease  store.LeaseID
-	// doubts wakes Run to look whether the entry is still there.
-	doubts chan struct{}
-	lost   bool
+	// doubts wakes Run to look whether the entry is still there; seen is when it was
+	// last known to be.
+	doubts  chan struct{}
+	seen    time.Time
+	doubted bool
+	lost    bool
 }
 
 // NewKeeper checks c and returns a keeper that Run starts.
@@ -74,9 +80,8 @@
 			continue
 		}
 		attempt = 0
-		if k.wait(ctx) {
-			k.verify(ctx)
-		}
+		k.wait(ctx)
+		k.verify(ctx)
 	}
 	return nil
 }
@@ -89,16 +94,25 @@
 	return errors.WithMessage(k.config.Store.Revoke(ctx, k.lease), "remove agent entry")
 }
 
-func (k *Keeper) wait(ctx context.Context) (doubt bool) {
+// wait returns when the lease is to be renewed, or when the entry is in doubt and
+// was not looked at lately.
+func (k *Keeper) wait(ctx context.Context) {
 	timer := time.NewTimer(renewInterval)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-k.doubts:
-		return true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-k.doubts:
+			if time.Since(k.seen) < verifyInterval {
+				continue
+			}
+			k.doubted = true
+			return
+		}
 	}
-	return false
 }
 
 // renew extends the lease, or takes a new one and writes the entry.
@@ -117,7 +131,7 @@
 	if err = k.put(ctx, lease); err != nil {
 		return err
 	}
-	k.lease = lease
+	k.lease, k.seen = lease, time.Now()
 	return nil
 }
 
@@ -146,11 +160,16 @@
 
 // verify drops the lease when the entry is missing, so that renew writes it again.
 func (k *Keeper) verify(ctx context.Context) {
+	if !k.doubted {
+		return
+	}
+	k.doubted = false
 	current, _, err := k.config.Store.Get(ctx, k.config.Entry.Key())
 	if err != nil {
 		k.report(err)
 		return
 	}
+	k.seen = time.Now()
 	if current == nil || current.Lease != k.lease {
 		logging.Line(level.Warn(k.config.Logger), "event", "entry_missing", "key", k.config.Entry.Key())
 		k.lease = 0
