--- /dev/null
+++ b/internal/segment/registry/entry_test.go
@@ -0,0 +1,36 @@
+package registry
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against entries of other writers that are taken for agents.
+func TestDecodeEntry(t *testing.T) {
+	is := is.New(t)
+	e := Entry{Node: "side-1", Address: netip.MustParseAddr("10.0.0.1"), Service: "studio"}
+	value, err := e.Encode()
+	is.NoErr(err)
+	again, err := DecodeEntry(value)
+	is.NoErr(err)
+	is.Equal(again, e)
+	for _, value := range []string{
+		"", "{", "[]", "7", "\xff", `{"node":"side-1"}`, `{"node":"side-1","address":"10.0.0.1"}`,
+		`{"node":"side-1","address":"here","service":"studio"}`, `{"node":7,"address":"10.0.0.1","service":"studio"}`,
+		`{"address":"10.0.0.1","service":"studio"}`,
+	} {
+		_, err := DecodeEntry([]byte(value))
+		is.True(err != nil)
+	}
+}
+
+// Guards against entries that stop the process.
+func FuzzDecodeEntry(f *testing.F) {
+	f.Add([]byte(`{"node":"side-1","address":"10.0.0.1","service":"studio"}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		e, err := DecodeEntry(value)
+		is.New(t).Equal(err == nil, e.Node != "" && e.Service != "" && e.Address.IsValid())
+	})
+}
