--- a/check.sh
+++ b/check.sh
@@ -39,7 +39,7 @@
   fi
   pattern=${pattern:+$pattern|}^${name//\//$/^}\$
 done
-go test -race -timeout 15m ${pattern:+-skip "$pattern"} ./...
+go test -race -timeout 8m ${pattern:+-skip "$pattern"} ./...
 if [ -n "$pattern" ]; then
   step "known failures (not part of the result)"
   go test -race -timeout 4m -run "$pattern" ./... || true
