relay: Do not count abandoned requests as work

Cause, found by reading: a request that a host never answers counted as work until its flow was forgotten after 60 s. Requests are now counted for 5 s after the caller's last packet. The test failed first.

--- a/internal/segment/relay/load.go
+++ b/internal/segment/relay/load.go
@@ -14,6 +14,10 @@
 	// maxLatency bounds a measurement; a caller that pauses in the middle of a
 	// request is not the host's work.
 	maxLatency = 5 * time.Second
+	// abandonedTime is how long a request counts as work after the caller's last
+	// packet of it. Callers that give up may say nothing, and repeat their packets at
+	// least every 1.6 s before that.
+	abandonedTime = 5 * time.Second
 )
 
 // load measures the work at the host from its packets.
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -331,11 +331,14 @@
 	return len(kept)
 }
 
-// Expire forgets flows that are idle or have ended.
+// Expire forgets flows that are idle or have ended, and requests that were abandoned.
 func (r *Relay) Expire(now time.Time) {
 	for key, f := range r.flows {
-		if now.After(f.expires) {
+		switch {
+		case now.After(f.expires):
 			r.forget(now, key, f)
+		case f.busy && now.Sub(f.asked) > abandonedTime:
+			r.idle(now, f)
 		}
 	}
 	if r.lifetime > 0 && now.Sub(r.host.since) > r.lifetime {
--- a/internal/segment/relay/relay_test.go
+++ b/internal/segment/relay/relay_test.go
@@ -325,3 +325,26 @@
 	b.HandleFromHost(b.now, fromHost(packet.ACK, 1, 0)) // the host lives
 	b.delivered(b.toHost(fromCaller(packet.SYN, 100, 0, 0)))
 }
+
+// Guards against a host that counts as full because callers have given up without
+// a word on requests that it never answers.
+func TestAbandonedRequests(t *testing.T) {
+	b := newBench(t, false)
+	for port := range uint16(waitFactor*b.beat.Slots + waitExtra) {
+		for _, s := range []*packet.Segment{fromCaller(packet.SYN, 100, 0, 0), fromCaller(packet.ACK, 101, 5001, 300)} {
+			s.Source = netip.AddrPortFrom(caller.Addr(), 1000+port)
+			b.delivered(b.toHost(s))
+			answer := fromHost(packet.SYN|packet.ACK, 5000, 0)
+			answer.Destination = s.Source
+			if s.First() {
+				b.HandleFromHost(b.now, answer)
+			}
+		}
+	}
+	b.returned(b.toHost(fromCaller(packet.SYN, 100, 0, 0)), packet.ReturnBusy)
+	b.later(abandonedTime + time.Second)
+	b.heartbeat(nil)
+	b.Expire(b.now)
+	b.is.Equal(b.Load(b.now).Busy, 0)
+	b.delivered(b.toHost(fromCaller(packet.SYN, 100, 0, 0)))
+}
