--- a/internal/cli/hosted/hosted_test.go
+++ b/internal/cli/hosted/hosted_test.go
@@ -14,18 +14,17 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"agateramp/platform"
 )
 
-const settings = `node_name: "front-1"
-ip: "127.78.0.1"
-zone: "north"
-listen: {packet_addr: "127.78.0.1:8172", ready_addr: "127.78.0.1:8167"}
-port_range: [7720, 7735]
-heartbeat_ms: 1200
-limits: {memory_mb: 152}
-bounds: {grace_s: 3, flow_ttl_s: 60}
-platform: {address: "127.78.0.1:1", ttl_min_ms: 1000}
-`
+// settingsOf returns the settings of a balancer in the platform's format.
+func settingsOf(t *testing.T) (text string) {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("..", "..", "..", "platform", "testdata", "balancer.yaml"))
+	is.New(t).NoErr(err)
+	return string(data)
+}
 
 func writeSettings(t *testing.T, text string) (path string) {
 	t.Helper()
@@ -44,8 +43,8 @@
 		{"no command", "expected", nil},
 		{"unknown command", "unexpected", []string{"relay"}},
 		{"no file", "settings", []string{"balancer", "--settings", "/nowhere/settings.yaml"}},
-		{"field missing", "zone", []string{"balancer", "--settings", writeSettings(t, strings.Replace(settings, `zone: "north"`, "", 1))}},
-		{"no host", "listen.outbound", []string{"agent", "--settings", writeSettings(t, settings)}},
+		{"field missing", "zone", []string{"balancer", "--settings", writeSettings(t, strings.Replace(settingsOf(t), `zone: "north"`, "", 1))}},
+		{"no host", "listen.outbound", []string{"agent", "--settings", writeSettings(t, settingsOf(t))}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -99,7 +98,7 @@
 	is := is.New(t)
 	var out lockedBuffer
 	code := make(chan int, 1)
-	path := writeSettings(t, settings)
+	path := writeSettings(t, settingsOf(t))
 	go func() {
 		code <- execute([]string{"balancer", "--settings", path}, &environment{stdout: &out, stderr: io.Discard})
 	}()
@@ -111,7 +110,7 @@
 	var metrics map[string]any
 	is.NoErr(json.NewDecoder(response.Body).Decode(&metrics))
 	response.Body.Close()
-	response, err = http.Get("http://127.78.0.1:8167/v1/readyz")
+	response, err = http.Get("http://127.78.0.1:8167" + platform.ReadinessPath)
 	is.NoErr(err)
 	response.Body.Close()
 	is.Equal(response.StatusCode, http.StatusServiceUnavailable) // it has no configuration
