owner: Tell witnesses the local port before a delivery

Cause: TestScenarios/agent-killed and agent-restarted counted requests that ran twice at one host. A trial that logged each local port beside the sequence of the doubled request showed two ways. (1) Witnesses were asked before the local port of a datagram flow was open, and learned it up to 50 ms after the delivery, or never if they are not in the directory of the flow; an agent killed in between delivered the next copy from another port. (2) A restarted agent that heard of a flow first from such a witness kept port 0 and ignored the port that the directory reported after that (requests 36 and 41 of flows that were seconds old).

Ruled out: ports taken by other processes (each machine of a script has its own address), and keptAnswers of the stand-in.

Change: the agent opens the socket first and asks witnesses with its port; flows that are given up close it; without a socket the flow is refused at once. A later report of the same flow fills in a missing port. The checker of broken flows and doubled runs says when the last answer came and which sequence ran.

--- a/internal/core/owner/admission.go
+++ b/internal/core/owner/admission.go
@@ -33,6 +33,10 @@
 	deadline int64
 	// known is what witnesses are told of earlier flows on the key.
 	known tokens
+	// port is the local port that witnesses are told of, or 0 if the flow needs none.
+	port uint16
+	// binding is set until the local port is known; no witness is asked before that.
+	binding bool
 	// witnesses were asked to confirm, and asked holds those that have not yet.
 	witnesses []netip.AddrPort
 	asked     []ask
@@ -194,6 +198,17 @@
 	return len(a.pending) > 0
 }
 
+// bind notes the local port of a flow that waits for its witnesses.
+func (a *admission) bind(key flow.Key, port uint16) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range a.pending {
+		if w.packet.Key == key {
+			w.port, w.binding = port, false
+		}
+	}
+}
+
 // cancel forgets a flow that waits for its witness and returns its packet, or nil.
 func (a *admission) cancel(key flow.Key) *waiting {
 	found := a.takePending(func(w *waiting) bool { return w.packet.Key == key })
@@ -253,14 +268,14 @@
 	for _, w := range a.pending {
 		for i := range w.asked {
 			q := &w.asked[i]
-			if !match(w, *q) {
+			if w.binding || !match(w, *q) {
 				continue
 			}
 			if q.sequence == 0 {
 				q.sequence, _ = p.next(q.witness)
 			}
 			if q.sequence != 0 {
-				again = append(again, waiting{packet: w.packet, known: w.known, asked: []ask{*q}})
+				again = append(again, waiting{packet: w.packet, known: w.known, port: w.port, asked: []ask{*q}})
 			}
 		}
 	}
--- a/internal/core/owner/admission_test.go
+++ b/internal/core/owner/admission_test.go
@@ -146,8 +146,10 @@
 				now := epoch.Add(time.Duration(i) * time.Millisecond)
 				p := tcpPacket(uint16(i%300), byte(i%5), i%3 == 0)
 				for _, e := range o.HandlePacket(now, headerTo(1), p, nil) {
-					if r, ok := e.(*Report); ok {
-						o.HandleEvent(now, ReportAcked{Peer: r.To, Sequence: r.Report.GetSequence()}, nil)
+					if b, ok := e.(*BindFlow); ok {
+						for _, r := range reportsIn(o.HandleEvent(now, PortBound{Key: b.Key, Port: 1}, nil)) {
+							o.HandleEvent(now, ReportAcked{Peer: r.To, Sequence: r.Report.GetSequence()}, nil)
+						}
 					}
 				}
 				o.HandleEvent(now, AnswerSeen{Key: p.Key}, nil)
--- a/internal/core/owner/directory.go
+++ b/internal/core/owner/directory.go
@@ -187,6 +187,7 @@
 		Entries: []*controlpb.FlowEntry{{
 			Key:          encodeKey(w.packet.Key),
 			Owner:        encodeAddress(c.owner.self),
+			LocalPort:    uint32(w.port),
 			FirstPackets: w.known.list(),
 		}},
 	}})
@@ -363,8 +364,7 @@
 		return
 	}
 	c.owner.admission.cancel(e.key)
-	c.owner.admission.release(c.now, e.has(flagBusy))
-	c.freed = true
+	c.closeFlow(e)
 }
 
 func tokensOf(m *controlpb.FlowEntry) (t tokens) {
--- a/internal/core/owner/effect.go
+++ b/internal/core/owner/effect.go
@@ -66,7 +66,8 @@
 	}
 	// CloseFlow releases the local socket of a flow that ended.
 	CloseFlow struct{ Key flow.Key }
-	// BindFlow reopens the local socket of a recovered flow.
+	// BindFlow opens the local socket of a flow before its first packet is delivered,
+	// or reopens that of a recovered flow on its port. LocalPort is 0 for any port.
 	BindFlow struct {
 		Key       flow.Key
 		LocalPort uint16
--- a/internal/core/owner/event.go
+++ b/internal/core/owner/event.go
@@ -29,7 +29,8 @@
 	}
 	// AnswerSeen says that the backend server answered on a flow.
 	AnswerSeen struct{ Key flow.Key }
-	// PortBound gives the local port that the datagram adapter opened for a flow.
+	// PortBound gives the local port that the datagram adapter opened for a flow, or 0
+	// if it could open none.
 	PortBound struct {
 		Key  flow.Key
 		Port uint16
--- a/internal/core/owner/events.go
+++ b/internal/core/owner/events.go
@@ -146,12 +146,35 @@
 	s := c.owner.flows.shard(hash)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.find(hash, &key); e != nil && e.state == stateOwned && e.port != port {
+	e := s.find(hash, &key)
+	switch {
+	case e != nil && e.state == statePending:
+		c.pendingBound(e, port)
+	case port == 0:
+	case e == nil || e.state != stateOwned:
+		// The flow went elsewhere while its socket was opened.
+		c.emit(&CloseFlow{Key: key})
+	case e.port != port:
 		e.port = port
 		c.owner.reportFlow(e)
 	}
 }
 
+// pendingBound asks the witnesses of a flow whose local port is known now, or
+// refuses the flow if it has no socket.
+func (c *call) pendingBound(e *entry, port uint16) {
+	if port == 0 {
+		if w := c.owner.admission.cancel(e.key); w != nil {
+			c.closeFlow(e)
+			c.refuse(e, &w.header, &w.packet, flow.ReasonFull)
+		}
+		return
+	}
+	e.port = port
+	c.owner.admission.bind(e.key, port)
+	c.askAgain(func(w *waiting, _ ask) bool { return w.packet.Key == e.key })
+}
+
 // drainChanged offers the flows that wait for a slot or a witness to other hosts,
 // since a draining agent starts no new work.
 func (c *call) drainChanged(on bool) {
@@ -166,7 +189,7 @@
 	for _, w := range c.owner.admission.takePending(func(*waiting) bool { return true }) {
 		c.withPending(w, func(e *entry) {
 			asked := w.witnesses
-			c.owner.admission.release(c.now, e.has(flagBusy))
+			c.closeFlow(e)
 			c.place(e, &w.header, &w.packet)
 			c.tellWitnesses(e, asked)
 		})
--- a/internal/core/owner/hosts_test.go
+++ b/internal/core/owner/hosts_test.go
@@ -42,10 +42,12 @@
 	// drained is when the agent was told to drain.
 	drained time.Time
 	// died is set when the host failed.
-	died    bool
-	slots   int
-	conns   map[flow.Key]int
-	running int
+	died  bool
+	slots int
+	// lastPort is the local port that was opened last.
+	lastPort uint16
+	conns    map[flow.Key]int
+	running  int
 }
 
 func (n *network) addService(id uint32, service *controlpb.Service) *simService {
--- a/internal/core/owner/network_test.go
+++ b/internal/core/owner/network_test.go
@@ -275,6 +275,13 @@
 			n.transmit(h, e.To, func(from, to *simHost) {
 				n.perform(to, nil, to.owner.HandleEvent(n.now, ReportAcked{Peer: from.address, Sequence: e.Sequence}, nil))
 			})
+		case *BindFlow:
+			port := e.LocalPort
+			if port == 0 {
+				h.lastPort++
+				port = h.lastPort
+			}
+			n.perform(h, nil, h.owner.HandleEvent(n.now, PortBound{Key: e.Key, Port: port}, nil))
 		case *Acknowledge:
 			if e.Transferred {
 				s, owner := h.service, h.owner
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -242,13 +242,20 @@
 }
 
 // await asks witnesses for a flow and keeps its packet until they have confirmed.
+// They learn its local port with that, since the agent may be killed right after the
+// delivery: from another port the backend server would run a repeated request again.
 func (c *call) await(kept *waiting, witnesses []netip.AddrPort) {
 	kept.deadline = c.witnessTime(witnesses)
 	kept.witnesses, kept.asked = witnesses, nil
 	for _, a := range witnesses {
 		kept.asked = append(kept.asked, ask{witness: a})
 	}
-	c.askWitnesses(kept)
+	if c.owner.admission.countsSlots && kept.port == 0 {
+		kept.binding = true
+		c.emit(&BindFlow{Key: kept.packet.Key})
+	} else {
+		c.askWitnesses(kept)
+	}
 	c.owner.admission.await(kept)
 }
 
--- /dev/null
+++ b/internal/core/owner/port_test.go
@@ -0,0 +1,107 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+)
+
+// reportsIn returns the reports among effects.
+func reportsIn(effects []Effect) (reports []*Report) {
+	for _, effect := range effects {
+		if r, ok := effect.(*Report); ok {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
+// boundFlow has an owner in datagram mode take the flow from a source port and
+// returns the reports that ask its witnesses.
+func boundFlow(t *testing.T, o *Owner, source, local uint16) []*Report {
+	t.Helper()
+	p := tcpPacket(source, 1, true)
+	effects := o.HandlePacket(epoch, headerTo(1), p, nil)
+	is.New(t).Equal(reportsIn(effects), nil) // the port is not known yet
+	bind := effectOf[*BindFlow](t, effects)
+	is.New(t).Equal(bind.Key, p.Key)
+	return reportsIn(o.HandleEvent(epoch, PortBound{Key: p.Key, Port: local}, nil))
+}
+
+func datagramOwner(t *testing.T) *Owner {
+	t.Helper()
+	o := newOwner(t, Config{Self: hostAddress(1), Slots: 2, AnswersSeen: true}, testSpec(&controlpb.Service{Id: 1}, 1, []int{1, 2, 3}))
+	for _, peer := range []int{2, 3} {
+		o.HandleEvent(epoch, PeerConnected{Peer: hostAddress(peer)}, nil)
+	}
+	return o
+}
+
+// Guards against work that runs twice at its host: an agent that was killed before
+// its peers knew the local port of a flow delivered the next copy of a request from
+// another port, which the backend server takes for another connection.
+func TestWitnessesKnowThePortBeforeDelivery(t *testing.T) {
+	is := is.New(t)
+	o := datagramOwner(t)
+	asked := boundFlow(t, o, 1, 40_001)
+	is.Equal(len(asked), 2)
+	var effects []Effect
+	for _, r := range asked {
+		is.Equal(r.Report.GetEntries()[0].GetLocalPort(), uint32(40_001))
+		effects = o.HandleEvent(epoch, ReportAcked{Peer: r.To, Sequence: r.Report.GetSequence()}, nil)
+	}
+	is.Equal(effectOf[*Deliver](t, effects).LocalPort, uint16(40_001))
+}
+
+// Guards against sockets that stay open when a flow that waited for its witnesses
+// goes elsewhere, also when the socket was opened only after that.
+func TestSocketOfWaitingFlowIsClosed(t *testing.T) {
+	is := is.New(t)
+	o := datagramOwner(t)
+	key := tcpPacket(1, 1, true).Key
+	is.Equal(len(boundFlow(t, o, 1, 40_001)), 2)
+	is.Equal(effectOf[*CloseFlow](t, o.HandleEvent(epoch, DrainChanged{Drain: true}, nil)).Key, key)
+	is.Equal(effectOf[*CloseFlow](t, o.HandleEvent(epoch, PortBound{Key: key, Port: 40_002}, nil)).Key, key)
+	is.Equal(o.Load(epoch).GetOpenFlows(), uint32(0))
+}
+
+// Guards against callers that wait until the witness deadline when the agent has no
+// socket for their flow.
+func TestFlowWithoutSocketIsRefused(t *testing.T) {
+	is := is.New(t)
+	o := datagramOwner(t)
+	p := tcpPacket(1, 1, true)
+	effectOf[*BindFlow](t, o.HandlePacket(epoch, headerTo(1), p, nil))
+	refuse := effectOf[*Refuse](t, o.HandleEvent(epoch, PortBound{Key: p.Key}, nil))
+	is.Equal(refuse.Reason, flow.ReasonFull)
+	is.Equal(o.Load(epoch).GetBusy(), uint32(0))
+}
+
+// Guards against work that runs twice at its host: a restarted agent that first heard
+// of a flow from a peer that did not know its local port ignored the port that another
+// peer reported.
+func TestRecoveredFlowTakesThePortOfALaterReport(t *testing.T) {
+	is := is.New(t)
+	o, err := New(Config{Self: hostAddress(1), Slots: 2, AnswersSeen: true, Started: epoch, Incarnation: 2})
+	is.NoErr(err)
+	o.HandleEvent(epoch, SpecReceived{Spec: testSpec(&controlpb.Service{Id: 1}, 1, []int{1, 2, 3})}, nil)
+	p := tcpPacket(1, 1, true)
+	report := func(peer int, local uint32) []Effect {
+		return o.HandleEvent(epoch, ReportReceived{Peer: hostAddress(peer), Report: &controlpb.FlowReport{
+			Sequence: 1, Version: 1, Complete: peer == 3,
+			Entries: []*controlpb.FlowEntry{{
+				Key: encodeKey(p.Key), Owner: encodeAddress(hostAddress(1)), LocalPort: local, FirstPackets: []uint32{tokenOf(p)},
+			}},
+		}}, nil)
+	}
+	for _, peer := range []int{2, 3} {
+		o.HandleEvent(epoch, PeerConnected{Peer: hostAddress(peer)}, nil)
+	}
+	report(2, 0)
+	is.Equal(effectOf[*BindFlow](t, report(3, 40_001)).LocalPort, uint16(40_001))
+	next := tcpPacket(1, 2, false)
+	is.Equal(effectOf[*Deliver](t, o.HandlePacket(epoch, headerTo(1), next, nil)).LocalPort, uint16(40_001))
+}
--- a/internal/core/owner/recovery.go
+++ b/internal/core/owner/recovery.go
@@ -80,10 +80,14 @@
 	}
 	newer := e.has(flagRecovered) && known.earlier(e.tokens[0])
 	if e.tokens[0] != 0 && !newer {
+		same := e.tokens[0] == known[0]
 		e.tokens = e.tokens.merge(known)
-		return
+		if !same {
+			return
+		}
+	} else {
+		e.tokens = known
 	}
-	e.tokens = known
 	if newer {
 		// An older report came first.
 		e.port = 0
--- a/internal/core/owner/tick.go
+++ b/internal/core/owner/tick.go
@@ -37,8 +37,7 @@
 		c.await(w, witnesses)
 		return
 	}
-	c.owner.admission.release(c.now, e.has(flagBusy))
-	c.freed = true
+	c.closeFlow(e)
 	if !contradicted {
 		c.refuse(e, &w.header, &w.packet, flow.ReasonNoWitness)
 		return
--- a/internal/load/history/check.go
+++ b/internal/load/history/check.go
@@ -73,7 +73,8 @@
 		if died := h.find(MarkDied, f.Host, time.Time{}); died != nil && !died.At.After(f.Ended) {
 			continue
 		}
-		report("flow %d of service %d at host %q broke %v after it was established", id, f.Service, f.Host, f.Ended.Sub(f.Established))
+		report("flow %d of service %d at host %q broke (end %d) %v after it was established and %v after its last answer at %s",
+			id, f.Service, f.Host, f.End, f.Ended.Sub(f.Established), f.Ended.Sub(f.Answered), f.Answered.UTC().Format(time.RFC3339Nano))
 	}
 }
 
@@ -106,7 +107,8 @@
 			continue
 		}
 		if other := first[r.Request]; other != nil {
-			report("request %d ran at host %q and again at host %q", r.Request, other.Host, r.Host)
+			report("request %d (flow %d, sequence %d) ran at host %q and again at host %q %v later",
+				r.Request, r.Flow, r.Sequence, other.Host, r.Host, r.Started.Sub(other.Started))
 			continue
 		}
 		first[r.Request] = r
--- a/internal/load/history/history.go
+++ b/internal/load/history/history.go
@@ -15,6 +15,8 @@
 	Opened     time.Time
 	// Established is when the first answer arrived; it is zero before that.
 	Established time.Time
+	// Answered is when the last answer arrived; it is zero before the first one.
+	Answered time.Time
 	// Ended is when the flow completed or failed; it is zero while it is open.
 	Ended time.Time
 	// End says how the flow ended.
@@ -154,7 +156,7 @@
 	if f.Established.IsZero() {
 		f.Established = at
 	}
-	f.Host = host
+	f.Answered, f.Host = at, host
 }
 
 // End records how a flow ended.
--- a/internal/role/agent/deliver.go
+++ b/internal/role/agent/deliver.go
@@ -142,17 +142,21 @@
 	}
 }
 
-// bind reopens the socket of a recovered flow. If its port is taken the flow
-// gets another one, and the backend server sees a new peer.
+// bind opens the socket of a flow. If the port of a recovered flow is taken the
+// flow gets another one, and the backend server sees a new peer.
 func (d *dispatcher) bind(e *owner.BindFlow) {
 	port, err := d.server.bind(e.Key, e.LocalPort)
 	if err != nil {
 		d.sent(err)
-		return
+		port = 0
 	}
-	if port != e.LocalPort {
+	if port != e.LocalPort || err != nil {
 		d.event(owner.PortBound{Key: e.Key, Port: port})
 	}
+	if e.LocalPort != 0 && port != e.LocalPort {
+		d.metrics.Counter("ports.changed").Inc(1)
+		d.limited.Warn(time.Now(), "port_changed", "source", e.Key.Source(), "wanted", e.LocalPort, "got", port)
+	}
 }
 
 func (d *dispatcher) toBalancer(out frameSender, to netip.AddrPort, kind flow.Kind, data []byte) {
