registry: Bound the retries of a process by a budget

The new test showed more than a missing bound: a follower whose history is always gone listed and watched without any pause, so the test did not end within 20 s.

Change: followers and the keeper of a process share a budget of 3 retries a second (golang.org/x/time/rate); a read after lost history counts as a retry.

Before: TestRetriesStayWithinBudget timed out. After: it passes, with 8 followers and a keeper in 60 s of virtual time within the budget.

--- a/internal/cli/scenario/process_test.go
+++ b/internal/cli/scenario/process_test.go
@@ -24,7 +24,7 @@
 const firstPort = 10000
 
 // logTail is how much of each log a failed script prints.
-const logTail = 4000
+const logTail = 64_000
 
 type fleetKey struct{}
 
--- a/internal/keyvalue/backoff/backoff.go
+++ b/internal/keyvalue/backoff/backoff.go
@@ -6,6 +6,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Policy says how long to wait between attempts. The zero value is the default.
@@ -49,3 +51,17 @@
 		return ctx.Err()
 	}
 }
+
+// Budget bounds the retries of a process over all that it does with one server. Its
+// methods are safe for concurrent use.
+type Budget struct{ limiter *rate.Limiter }
+
+// NewBudget returns a budget that allows burst retries at once and perSecond of them
+// over time.
+func NewBudget(perSecond float64, burst int) *Budget {
+	return &Budget{limiter: rate.NewLimiter(rate.Limit(perSecond), burst)}
+}
+
+// Wait takes one retry from the budget and waits until it may be made. It returns an
+// error when ctx ends before that.
+func (b *Budget) Wait(ctx context.Context) error { return b.limiter.Wait(ctx) }
--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -122,7 +122,7 @@
 	}
 	a = &Agent{config: c, core: core, decisions: logging.NewDecisions(c.Logger), balancers: make(map[netip.Addr]time.Time)}
 	a.keeper, err = registry.NewKeeper(registry.KeeperConfig{
-		Store: c.Store, Logger: c.Logger,
+		Store: c.Store, Logger: c.Logger, Retries: registry.NewRetryBudget(),
 		Entry: registry.Entry{Node: c.Node, Address: c.Address, Service: c.Service},
 	})
 	if err != nil {
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -127,14 +127,15 @@
 }
 
 func (b *Balancer) start() (err error) {
+	retries := registry.NewRetryBudget()
 	config, err := registry.NewFollower(registry.FollowerConfig{
-		Store: b.config.Store, Prefix: b.config.ConfigKey, Pause: configPause, Changed: b.configChanged, Reached: b.storeReached, Logger: b.config.Logger,
+		Store: b.config.Store, Prefix: b.config.ConfigKey, Pause: configPause, Changed: b.configChanged, Reached: b.storeReached, Retries: retries, Logger: b.config.Logger,
 	})
 	if err != nil {
 		return err
 	}
 	agents, err := registry.NewFollower(registry.FollowerConfig{
-		Store: b.config.Store, Prefix: registry.Prefix, Pause: agentsPause, Changed: b.agentsChanged, Logger: b.config.Logger,
+		Store: b.config.Store, Prefix: registry.Prefix, Pause: agentsPause, Changed: b.agentsChanged, Retries: retries, Logger: b.config.Logger,
 	})
 	if err != nil {
 		return err
--- a/internal/segment/registry/follower.go
+++ b/internal/segment/registry/follower.go
@@ -20,6 +20,25 @@
 // the store's rates, and entries have to be back within 2 s of its return.
 var retry = backoff.Policy{First: 200 * time.Millisecond, Max: 800 * time.Millisecond}
 
+const (
+	// retriesPerSecond covers two followers that retry every 800 ms. Reads that find
+	// the history gone count as retries too, since they could go on without a pause.
+	retriesPerSecond = 3
+	// retryBurst lets both followers and the keeper of a process retry at once.
+	retryBurst = 3
+)
+
+// NewRetryBudget returns the budget that all followers and keepers of a process share.
+func NewRetryBudget() *backoff.Budget { return backoff.NewBudget(retriesPerSecond, retryBurst) }
+
+// await waits before a retry; attempt counts from 0.
+func await(ctx context.Context, budget *backoff.Budget, attempt int) (err error) {
+	if err = retry.Sleep(ctx, attempt); err != nil {
+		return err
+	}
+	return budget.Wait(ctx)
+}
+
 // FollowerConfig configures a Follower.
 type FollowerConfig struct {
 	// Store is the store. It must be set.
@@ -34,6 +53,8 @@
 	// Reached is told when the store is lost and when it is back. Empty means that
 	// nobody is.
 	Reached func(reached bool)
+	// Retries bounds the retries of the process. It must be set.
+	Retries *backoff.Budget
 	// Logger takes the loss and return of the store. It must be set.
 	Logger log.Logger
 }
@@ -49,8 +70,8 @@
 
 // NewFollower checks c and returns a follower that Run starts.
 func NewFollower(c FollowerConfig) (f *Follower, err error) {
-	if c.Store == nil || c.Prefix == "" || c.Changed == nil || c.Logger == nil {
-		return nil, errors.New("store follower: store, prefix, changed and logger must be set")
+	if c.Store == nil || c.Prefix == "" || c.Changed == nil || c.Retries == nil || c.Logger == nil {
+		return nil, errors.New("store follower: store, prefix, changed, retries and logger must be set")
 	}
 	return &Follower{config: c}, nil
 }
@@ -68,9 +89,11 @@
 		}
 		f.report(err)
 		if errors.Is(err, store.ErrCompacted) {
-			continue
+			err = f.config.Retries.Wait(ctx)
+		} else {
+			err = await(ctx, f.config.Retries, attempt)
 		}
-		if err = retry.Sleep(ctx, attempt); err != nil {
+		if err != nil {
 			break
 		}
 	}
@@ -106,7 +129,7 @@
 			return ctx.Err()
 		case errors.Is(err, store.ErrUnavailable):
 			f.report(err)
-			if err = retry.Sleep(ctx, attempt); err != nil {
+			if err = await(ctx, f.config.Retries, attempt); err != nil {
 				return err
 			}
 			attempt++
--- a/internal/segment/registry/keeper.go
+++ b/internal/segment/registry/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"agateramp/internal/keyvalue/backoff"
 	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/logging"
 )
@@ -29,6 +30,8 @@
 	Store store.Store
 	// Entry is the entry to keep. It must be set.
 	Entry Entry
+	// Retries bounds the retries of the process. It must be set.
+	Retries *backoff.Budget
 	// Logger takes the loss and return of the entry. It must be set.
 	Logger log.Logger
 }
@@ -48,8 +51,8 @@
 
 // NewKeeper checks c and returns a keeper that Run starts.
 func NewKeeper(c KeeperConfig) (k *Keeper, err error) {
-	if c.Store == nil || c.Logger == nil || c.Entry.Node == "" {
-		return nil, errors.New("entry keeper: store, logger and entry must be set")
+	if c.Store == nil || c.Retries == nil || c.Logger == nil || c.Entry.Node == "" {
+		return nil, errors.New("entry keeper: store, retries, logger and entry must be set")
 	}
 	value, err := c.Entry.Encode()
 	if err != nil {
@@ -73,7 +76,7 @@
 		err := k.renew(ctx)
 		k.report(err)
 		if err != nil && ctx.Err() == nil {
-			if err = retry.Sleep(ctx, attempt); err != nil {
+			if err = await(ctx, k.config.Retries, attempt); err != nil {
 				break
 			}
 			attempt++
--- /dev/null
+++ b/internal/segment/registry/retries_test.go
@@ -0,0 +1,88 @@
+package registry
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"agateramp/internal/keyvalue/store"
+	"agateramp/internal/process/group"
+)
+
+// failingStore counts its calls, all of which fail.
+type failingStore struct {
+	store.Store
+	calls atomic.Int64
+	// compacted has lists succeed and watches find the history gone.
+	compacted bool
+}
+
+func (s *failingStore) List(context.Context, string) ([]store.Entry, int64, error) {
+	s.calls.Add(1)
+	if s.compacted {
+		return nil, 1, nil
+	}
+	return nil, 0, store.ErrUnavailable
+}
+
+func (s *failingStore) Watch(context.Context, string, int64) (store.Watcher, error) {
+	s.calls.Add(1)
+	return nil, store.ErrCompacted
+}
+
+func (s *failingStore) Grant(context.Context, int64) (store.LeaseID, error) {
+	s.calls.Add(1)
+	return 0, store.ErrUnavailable
+}
+
+// Guards against a process that adds to the load of a store that fails: with several
+// followers and a keeper, and when the history is always gone. Time is virtual.
+func TestRetriesStayWithinBudget(t *testing.T) {
+	const (
+		followers = 8
+		seconds   = 60
+		// Each retry is a list and, when that succeeds, a watch.
+		callsPerRetry = 2
+	)
+	for _, test := range []struct {
+		name      string
+		compacted bool
+	}{
+		{"store does not answer", false},
+		{"history is always gone", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &failingStore{compacted: test.compacted}
+				retries := NewRetryBudget()
+				ctx, cancel := context.WithTimeout(t.Context(), seconds*time.Second)
+				defer cancel()
+				tasks := group.New(ctx)
+				for range followers {
+					f, err := NewFollower(FollowerConfig{
+						Store: s, Prefix: "x/", Retries: retries, Logger: log.NewNopLogger(),
+						Changed: func(map[string]store.Entry) {},
+					})
+					is.NoErr(err)
+					tasks.Go("follower", f.Run)
+				}
+				k, err := NewKeeper(KeeperConfig{
+					Store: s, Retries: retries, Logger: log.NewNopLogger(),
+					Entry: Entry{Node: "side-1", Address: netip.MustParseAddr("10.0.0.1"), Service: "studio"},
+				})
+				is.NoErr(err)
+				tasks.Go("keeper", k.Run)
+				is.NoErr(tasks.Wait())
+				is.True(s.calls.Load() <= callsPerRetry*(followers+1+retryBurst+retriesPerSecond*seconds))
+				is.True(s.calls.Load() >= retriesPerSecond*seconds/2) // it goes on trying
+			})
+		})
+	}
+}
