dispatch: Prefer hosts in the data centre of the balancer

Placement did not look at the data centre that agents report.

Change: after the choice of two, the first ranked host in the balancer's own data centre takes the flow if it is expected to answer within 1.25 times the best. The test fails without the margin.

--- a/internal/cli/hosted/hosted.go
+++ b/internal/cli/hosted/hosted.go
@@ -228,7 +228,7 @@
 	}
 	s := p.settings
 	b, err := balancer.New(balancer.Config{
-		Address: s.Address, PacketPort: s.Packets.Port(), PeerPort: s.PeerPort, Seeds: s.Seeds, Codec: platform.Packets{},
+		DataCentre: s.DataCentre, Address: s.Address, PacketPort: s.Packets.Port(), PeerPort: s.PeerPort, Seeds: s.Seeds, Codec: platform.Packets{},
 		Store: p.store, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		MaxFlows: int(s.MemoryBytes / flowMemoryShare / flowBytes), StopTime: s.StopTime * 2 / 3,
 		Logger: p.logger, Metrics: p.metrics, Group: p.tasks,
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -32,6 +32,8 @@
 	PacketPort uint16
 	// PeerPort takes messages of other processes. It must be set.
 	PeerPort uint16
+	// DataCentre is where the balancer is. Empty means that no host is nearer than others.
+	DataCentre string
 	// Seeds are machines that may run a balancer. Empty means none.
 	Seeds []netip.Addr
 	// Codec is the wire format of packets. It must be set.
@@ -106,7 +108,7 @@
 	if err = c.validate(); err != nil {
 		return nil, err
 	}
-	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows})
+	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -38,11 +38,15 @@
 type Config struct {
 	// MaxFlows bounds the remembered flows. Empty means 100,000.
 	MaxFlows int
+	// DataCentre is where the balancer is. New flows go to hosts there unless another
+	// one is expected to answer clearly sooner. Empty means that all hosts are alike.
+	DataCentre string
 }
 
 // Dispatcher is the decision core of a balancer. It is not safe for concurrent use.
 type Dispatcher struct {
-	routes *routes.Set
+	routes     *routes.Set
+	dataCentre string
 	// removed holds the addresses that newer configurations dropped.
 	removed map[netip.AddrPort]bool
 	agents  map[netip.Addr]*agent
@@ -68,7 +72,7 @@
 		c.MaxFlows = 100_000
 	}
 	return &Dispatcher{
-		removed: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
+		dataCentre: c.DataCentre, removed: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32][]*agent), flows: newTable(c.MaxFlows),
 	}, nil
 }
--- a/internal/segment/dispatch/dispatch_test.go
+++ b/internal/segment/dispatch/dispatch_test.go
@@ -454,3 +454,46 @@
 		is.Equal(d.Answering(b.now), 0)
 	}
 }
+
+// Guards against new flows that cross to another data centre while a host in that of
+// the balancer is as good, and against a near host that gets them though it is busy or
+// slow.
+func TestPlacePrefersNearHosts(t *testing.T) {
+	const flows = 200
+	load := func(busy int, latency time.Duration) packet.Load {
+		return packet.Load{Slots: 2, Busy: busy, Latency: latency}
+	}
+	for _, test := range []struct {
+		name        string
+		near        packet.Load
+		least, most int
+	}{
+		{"near host idle", load(0, 20*time.Millisecond), flows, flows},
+		{"near host full", load(4, 20*time.Millisecond), 0, 0},
+		{"near host twice as slow", load(0, 40*time.Millisecond), 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d, err := New(Config{DataCentre: "north"})
+			is.NoErr(err)
+			is.True(d.SetRoutes(routeSet(t, 1, studioAddr, otherAddr)))
+			near := 0
+			for port := range uint16(flows) {
+				d.HandleStatus(start, host(0), Status{Service: "studio", DataCentre: "north", State: packet.HostReady, Load: test.near})
+				for i := 1; i < 4; i++ {
+					d.HandleStatus(start, host(i), Status{
+						Service: "studio", DataCentre: "south", State: packet.HostReady, Load: load(0, 20*time.Millisecond),
+					})
+				}
+				s := segment(packet.SYN, 7, 0)
+				s.Source = netip.AddrPortFrom(caller.Addr(), 1000+port)
+				f, ok := d.HandlePacket(start, s)[0].(Forward)
+				is.True(ok)
+				if f.Agent == host(0) {
+					near++
+				}
+			}
+			is.True(near >= test.least && near <= test.most)
+		})
+	}
+}
--- a/internal/segment/dispatch/place.go
+++ b/internal/segment/dispatch/place.go
@@ -14,6 +14,10 @@
 	// choices is how many hosts a new flow is weighed over. Two random choices
 	// bound the share that a host gets while its load report is old.
 	choices = 2
+	// nearMargin is how much later a host in the balancer's data centre may be expected
+	// to answer than the best other one. Traffic between data centres is paid for; a
+	// larger margin would leave hosts idle where few callers are.
+	nearMargin = 1.25
 	// defaultLatency is assumed of a host without measurements when no host of its
 	// service has any.
 	defaultLatency = 20 * time.Millisecond
@@ -124,5 +128,20 @@
 			best = a
 		}
 	}
+	if near := d.nearest(hosts); near != nil && near.cost(now, typical) <= nearMargin*best.cost(now, typical) {
+		return near
+	}
 	return best
 }
+
+// nearest returns the first of the ranked hosts in the balancer's data centre, or nil.
+func (d *Dispatcher) nearest(hosts []*agent) *agent {
+	if d.dataCentre == "" {
+		return nil
+	}
+	i := slices.IndexFunc(hosts, func(a *agent) bool { return a.status.DataCentre == d.dataCentre })
+	if i < 0 {
+		return nil
+	}
+	return hosts[i]
+}
