generator: Wait for the faults that the load tool is to see

Cause: TestLoadSeesFaults/work_run_on_two_hosts reads the summary when the flows have ended, which is before the second server has taken its copies if its reader runs late.

--- a/internal/load/generator/generator_test.go
+++ b/internal/load/generator/generator_test.go
@@ -110,7 +110,11 @@
 			summary := s.load(generator.Config{
 				Transport: s.datagrams(), Flows: 10, Length: 2, Retransmissions: 1, Refusal: refusal,
 			})
-			is.True(test.count(summary) > 0)
+			// The flows may end before a server has taken the last packets.
+			eventually(t, "the load tool did not see the fault", func() bool {
+				summary = history.Summarize(s.record, nil)
+				return test.count(summary) > 0
+			})
 			is.True(len(summary.Violations) > 0)
 		})
 	}
