--- a/internal/cli/scenario/soak_test.go
+++ b/internal/cli/scenario/soak_test.go
@@ -169,7 +169,8 @@
 	s.emit("settled studio 3", "fabric add balancer-1 balancer-2 balancer-3",
 		"load flows -rate 30 -length 80 -interval 50 -flows 500 -retransmissions 12", "await runs studio-1 >= 20")
 	for range soakSteps {
-		for !s.begin(s.draw()) {
+		for started := false; !started; {
+			started = s.begin(s.draw())
 		}
 		s.pass(time.Duration(s.random.Int64N(int64(soakGap))))
 		s.finish(false)
