owner: Forget undecided flows after a pause

A trial that logged each decision showed that the agent kept a first packet in its queue, was paused for 5 s and then refused it as not run because its deadline had passed; the caller's next copy had gone to another host meanwhile, which ran it.

A copy of their first packets is decided on anew.

--- a/internal/core/owner/admission.go
+++ b/internal/core/owner/admission.go
@@ -293,6 +293,14 @@
 	return found
 }
 
+// takeQueued removes and returns all queued packets.
+func (a *admission) takeQueued() (queued []*waiting) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	queued, a.queue = a.queue, nil
+	return queued
+}
+
 // park keeps a first packet until the end of recovery.
 func (a *admission) park(w *waiting) bool {
 	a.mu.Lock()
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -65,6 +65,8 @@
 
 	flows     flowMap
 	sweepNext atomic.Uint32
+	// lastTick is when time passed last, in nanoseconds since 1970.
+	lastTick  atomic.Int64
 	admission admission
 	peers     peerSet
 	hosts     hostList
--- /dev/null
+++ b/internal/core/owner/paused_test.go
@@ -0,0 +1,58 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"agateramp/internal/control/controlpb"
+	"agateramp/internal/core/flow"
+)
+
+// tickUntil lets time pass as the adapter does.
+func tickUntil(o *Owner, from, to time.Time) (effects []Effect) {
+	for now := from; !now.After(to); now = now.Add(tickTime) {
+		effects = append(effects, o.HandleEvent(now, Tick{}, nil)...)
+	}
+	return effects
+}
+
+// Guards against a refusal that says that work was not run although another host ran
+// it: an agent that was paused refused the flows that it had kept, whose callers had
+// meanwhile been served elsewhere (soak, seeds 10 and 46).
+func TestPausedAgentRefusesNothing(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		service *controlpb.Service
+		slots   int
+	}{
+		{"waits for a slot", &controlpb.Service{Id: 1, Idempotent: true, QueueDeadlineMs: 100}, 1},
+		{"waits for a witness", &controlpb.Service{Id: 1}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			o := newOwner(t, Config{Self: hostAddress(1), Slots: test.slots, AnswersSeen: true}, testSpec(test.service, 1, []int{1, 2}))
+			o.HandleEvent(epoch.Add(-recoveryLimit), PeerConnected{Peer: hostAddress(2)}, nil)
+			for port := range uint16(2) {
+				final := headerTo(1)
+				final.Stage = flow.StageFinal
+				p := tcpPacket(port, 1, true)
+				o.HandlePacket(epoch, final, p, nil)
+				o.HandleEvent(epoch, PortBound{Key: p.Key, Port: 40_000 + port}, nil)
+			}
+			busy := o.Load(epoch).GetBusy()
+			resumed := epoch.Add(3 * time.Second)
+			for _, effect := range o.HandleEvent(resumed, Tick{}, nil) {
+				if r, ok := effect.(*Refuse); ok {
+					t.Errorf("refused %v: %s", r.Key, r.Reason)
+				}
+			}
+			is.Equal(o.Load(resumed).GetQueued(), uint32(0))
+			if !test.service.GetIdempotent() {
+				is.Equal(busy, uint32(2))
+				is.Equal(o.Load(resumed).GetBusy(), uint32(0)) // no slot is lost
+			}
+		})
+	}
+}
--- a/internal/core/owner/tick.go
+++ b/internal/core/owner/tick.go
@@ -12,6 +12,9 @@
 	if c.view == nil {
 		return
 	}
+	if last := c.owner.lastTick.Swap(c.now); last != 0 && c.now-last > int64(pauseLimit) {
+		c.forgetUndecided()
+	}
 	c.endRecovery()
 	for _, w := range c.owner.admission.overdue(c.now) {
 		c.withQueued(w, func(e *entry) { c.refuse(e, &w.header, &w.packet, flow.ReasonFull) })
@@ -28,6 +31,25 @@
 	c.freed = true
 }
 
+// forgetUndecided drops the flows that wait here, after a pause. Another host may have
+// taken them from copies of their first packets, so that a refusal could be false; a
+// copy that comes now is decided on anew.
+func (c *call) forgetUndecided() {
+	forget := func(s *shard, e *entry) {
+		if e.state == statePending {
+			c.closeFlow(e)
+		}
+		s.remove(e)
+		c.drop(flow.ReasonStale)
+	}
+	for _, w := range c.owner.admission.takeQueued() {
+		c.withQueued(w, func(e *entry) { forget(c.owner.flows.shard(w.packet.Hash), e) })
+	}
+	for _, w := range c.owner.admission.takePending(func(*waiting) bool { return true }) {
+		c.withPending(w, func(e *entry) { forget(c.owner.flows.shard(w.packet.Hash), e) })
+	}
+}
+
 // unwitnessed gives up a flow that its witnesses did not confirm in time, unless
 // another host can be asked.
 func (c *call) unwitnessed(e *entry, w *waiting) {
