owner: Send a full report from one goroutine

A trial that logged each entry showed that they arrived after the report that was marked complete: a tick had taken them from the outbox and sent them later than the goroutine that scanned the rest.

Change: nothing leaves the outbox of a peer until the scan is over, so that one goroutine sends the whole report in order.

--- a/internal/core/owner/fullreport_test.go
+++ b/internal/core/owner/fullreport_test.go
@@ -12,7 +12,9 @@
 
 // Guards against established flows that are lost when their agent restarts: a tick
 // during the scan for a full report marked the report as complete, so that the
-// restarted agent ended its recovery and called the later entries stale (soak, seed 37).
+// restarted agent ended its recovery and called the later entries stale (soak, seed
+// 37). A part that a tick takes may be sent after the end as well (seed 10), so that
+// the report has to leave at once.
 func TestFullReportIsCompleteAtItsEnd(t *testing.T) {
 	const (
 		flows  = 20_000
@@ -28,10 +30,15 @@
 	for range rounds {
 		var mu sync.Mutex
 		var last, complete uint64
+		var parts int
 		note := func(effects []Effect) {
 			mu.Lock()
 			defer mu.Unlock()
-			for _, r := range reportsIn(effects) {
+			reports := reportsIn(effects)
+			if len(reports) > 0 {
+				parts++
+			}
+			for _, r := range reports {
 				last = max(last, r.Report.GetSequence())
 				if r.Report.GetComplete() {
 					complete = r.Report.GetSequence()
@@ -57,6 +64,7 @@
 		note(o.HandleEvent(epoch, Tick{}, nil))
 		is.True(complete != 0)
 		is.Equal(complete, last) // no entry comes after the end of the full report
+		is.Equal(parts, 1)       // nothing is sent by another goroutine before the end
 		o.HandleEvent(epoch, PeerDisconnected{Peer: peer}, nil)
 	}
 }
--- a/internal/core/owner/peers.go
+++ b/internal/core/owner/peers.go
@@ -122,8 +122,8 @@
 	clear(p.unconfirmed)
 }
 
-// scanned notes that the outbox has got all entries of a full report. Until then a
-// report that leaves is not the last.
+// scanned notes that the outbox has got all entries of a full report. Nothing leaves
+// before, since another goroutine could send its part after the end of the report.
 func (s *peerSet) scanned(address netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,7 +182,7 @@
 	defer s.mu.Unlock()
 	for _, a := range s.order {
 		p := s.byAddress[a]
-		if address.IsValid() && a != address || !p.connected || len(p.outbox) == 0 && !p.full {
+		if address.IsValid() && a != address || !p.connected || p.scanning || len(p.outbox) == 0 && !p.full {
 			continue
 		}
 		b := batch{to: a, refs: p.outbox, full: p.full, first: p.sequence + 1}
