owner: Withdraw the flows that a paused agent forgets

Found in the read-through. After a pause an agent forgot flows that waited for their witnesses, but the witnesses kept their entries and had copies of the first packets answered as work that may have run. The agent now withdraws them, as it does for flows that it gives away; TestPausedAgentRefusesNothing failed first. Also: one constant for the interval of ticks in place of two, port_changed is logged only when a port was opened, and the comment on the burst of retries says what a process holds.

--- a/internal/core/owner/admission_test.go
+++ b/internal/core/owner/admission_test.go
@@ -116,7 +116,7 @@
 	}
 	is.True(!refused(settled.Add(witnessDeadline)))
 	gone := settled.Add(streamGrace + witnessDeadline)
-	is.True(!refused(gone.Add(-tickTime)))
+	is.True(!refused(gone.Add(-TickInterval)))
 	asked := effectOf[*Report](t, o.HandleEvent(gone, Tick{}, nil))
 	is.Equal(asked.To, hostAddress(2))
 	effectOf[*Deliver](t, o.HandleEvent(gone, ReportAcked{Peer: asked.To, Sequence: asked.Report.GetSequence()}, nil))
--- a/internal/core/owner/entry.go
+++ b/internal/core/owner/entry.go
@@ -163,11 +163,10 @@
 	// reset. Resetting after streamGrace broke flows of agents that took longer than
 	// that to restart.
 	ownerLostAfter = 10 * time.Second
-	// tickTime is the interval of ticks. An agent whose tick comes pauseLimit after the
-	// one before was paused: balancers may have suspected it and sent copies of first
-	// packets elsewhere. Eight intervals leave room for late ticks of a busy process.
-	tickTime   = 50 * time.Millisecond
-	pauseLimit = 400 * time.Millisecond
+	// pauseLimit is how long after the last tick an agent takes itself to have been
+	// paused: balancers may have suspected it and sent copies of first packets
+	// elsewhere. It leaves room for late ticks of a busy process.
+	pauseLimit = 8 * TickInterval
 	// recoveryLimit is how long a started agent waits for the reports of its peers.
 	recoveryLimit = 2 * time.Second
 )
--- a/internal/core/owner/event.go
+++ b/internal/core/owner/event.go
@@ -2,11 +2,15 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"agateramp/internal/control/controlpb"
 	"agateramp/internal/core/flow"
 )
 
+// TickInterval is how often an adapter sends a Tick; reports leave at this rate.
+const TickInterval = 50 * time.Millisecond
+
 // Event is what an adapter tells the owner.
 type Event interface{ isEvent() }
 
@@ -40,7 +44,7 @@
 	// Stopping comes before a planned stop of the agent. From then on the agent takes
 	// no new flow and hands over what it knows; it may stop once Flushed reports true.
 	Stopping struct{}
-	// Tick lets deadlines pass; it comes at least every 50 ms.
+	// Tick lets deadlines pass; it comes every TickInterval.
 	Tick struct{}
 )
 
--- a/internal/core/owner/hosts_test.go
+++ b/internal/core/owner/hosts_test.go
@@ -200,7 +200,7 @@
 		return
 	}
 	h.n.perform(h, nil, o.HandleEvent(h.n.now, Tick{}, nil))
-	h.n.after(50*time.Millisecond, func() { h.tick(o) })
+	h.n.after(TickInterval, func() { h.tick(o) })
 }
 
 // stopAgent ends the agent and leaves the backend server running. A planned stop
--- a/internal/core/owner/paused_test.go
+++ b/internal/core/owner/paused_test.go
@@ -12,7 +12,7 @@
 
 // tickUntil lets time pass as the adapter does.
 func tickUntil(o *Owner, from, to time.Time) (effects []Effect) {
-	for now := from; !now.After(to); now = now.Add(tickTime) {
+	for now := from; !now.After(to); now = now.Add(TickInterval) {
 		effects = append(effects, o.HandleEvent(now, Tick{}, nil)...)
 	}
 	return effects
@@ -43,14 +43,24 @@
 			}
 			busy := o.Load(epoch).GetBusy()
 			resumed := epoch.Add(3 * time.Second)
+			withdrawn := 0
 			for _, effect := range o.HandleEvent(resumed, Tick{}, nil) {
-				if r, ok := effect.(*Refuse); ok {
-					t.Errorf("refused %v: %s", r.Key, r.Reason)
+				switch e := effect.(type) {
+				case *Refuse:
+					t.Errorf("refused %v: %s", e.Key, e.Reason)
+				case *Report:
+					for _, m := range e.Report.GetEntries() {
+						if m.GetEnded() && len(m.GetFirstPackets()) == 0 {
+							withdrawn++
+						}
+					}
 				}
 			}
 			is.Equal(o.Load(resumed).GetQueued(), uint32(0))
 			if !test.service.GetIdempotent() {
 				is.Equal(busy, uint32(2))
+				// Else the witness has copies answered as work that may have run.
+				is.Equal(withdrawn, 2)
 				is.Equal(o.Load(resumed).GetBusy(), uint32(0)) // no slot is lost
 			}
 		})
--- a/internal/core/owner/tick.go
+++ b/internal/core/owner/tick.go
@@ -35,18 +35,21 @@
 // taken them from copies of their first packets, so that a refusal could be false; a
 // copy that comes now is decided on anew.
 func (c *call) forgetUndecided() {
-	forget := func(s *shard, e *entry) {
-		if e.state == statePending {
-			c.closeFlow(e)
-		}
-		s.remove(e)
+	forget := func(w *waiting, e *entry) {
+		c.owner.flows.shard(w.packet.Hash).remove(e)
 		c.drop(flow.ReasonStale)
 	}
 	for _, w := range c.owner.admission.takeQueued() {
-		c.withQueued(w, func(e *entry) { forget(c.owner.flows.shard(w.packet.Hash), e) })
+		c.withQueued(w, func(e *entry) { forget(w, e) })
 	}
 	for _, w := range c.owner.admission.takePending(func(*waiting) bool { return true }) {
-		c.withPending(w, func(e *entry) { forget(c.owner.flows.shard(w.packet.Hash), e) })
+		c.withPending(w, func(e *entry) {
+			c.closeFlow(e)
+			// Another host decides on the flow now.
+			e.state = stateClaim
+			c.tellWitnesses(e, w.witnesses)
+			forget(w, e)
+		})
 	}
 }
 
--- a/internal/role/agent/datapath.go
+++ b/internal/role/agent/datapath.go
@@ -20,9 +20,6 @@
 	"agateramp/internal/process/settings"
 )
 
-// tickInterval lets the owner's deadlines pass; its reports leave at this rate.
-const tickInterval = 50 * time.Millisecond
-
 // dataPathConfig configures a dataPath.
 type dataPathConfig struct {
 	// settings are the checked settings of the process. It must be set.
@@ -93,7 +90,7 @@
 // start begins to read frames and to let deadlines pass.
 func (d *dispatcher) start(g *group.Group) {
 	d.port.Start()
-	g.Every("owner ticks", tickInterval, func() { d.event(owner.Tick{}) })
+	g.Every("owner ticks", owner.TickInterval, func() { d.event(owner.Tick{}) })
 }
 
 // update takes a table spec of the agent's service.
--- a/internal/role/agent/deliver.go
+++ b/internal/role/agent/deliver.go
@@ -148,12 +148,14 @@
 	port, err := d.server.bind(e.Key, e.LocalPort)
 	if err != nil {
 		d.sent(err)
-		port = 0
+		d.event(owner.PortBound{Key: e.Key})
+		return
 	}
-	if port != e.LocalPort || err != nil {
-		d.event(owner.PortBound{Key: e.Key, Port: port})
+	if port == e.LocalPort {
+		return
 	}
-	if e.LocalPort != 0 && port != e.LocalPort {
+	d.event(owner.PortBound{Key: e.Key, Port: port})
+	if e.LocalPort != 0 {
 		d.metrics.Counter("ports.changed").Inc(1)
 		d.limited.Warn(time.Now(), "port_changed", "source", e.Key.Source(), "wanted", e.LocalPort, "got", port)
 	}
--- a/internal/segment/registry/follower.go
+++ b/internal/segment/registry/follower.go
@@ -24,7 +24,8 @@
 	// retriesPerSecond covers two followers that retry every 800 ms. Reads that find
 	// the history gone count as retries too, since they could go on without a pause.
 	retriesPerSecond = 3
-	// retryBurst lets both followers and the keeper of a process retry at once.
+	// retryBurst lets the followers of a process, which lose the store together, retry
+	// at once.
 	retryBurst = 3
 )
 
