dispatch, relay: Give late flows free slots only

Cause: after a loss of power the worst windows were those in which hosts start cold. New requests and retries of old ones filled each host to twice its slots and two, so that a request took two to three times its work, and requests that had just come missed their latency objective together with those that had missed it before.

Change: balancers know the latency objective and priority of a route, and tell the age of a flow from the number of its copy. A flow older than half its objective is marked late; an agent takes it only while a slot is free, and the queue of a balancer offers it last. Others go by priority, then the newest first. The limit for them is now one and a half times the slots and two.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -195,11 +195,11 @@
 	for _, decision := range decisions {
 		switch d := decision.(type) {
 		case dispatch.Forward:
-			b.config.Codec.SetLabel(d.Data, packet.Label{Service: d.Service, Ask: d.Step == dispatch.StepSearch})
+			b.config.Codec.SetLabel(d.Data, packet.Label{Service: d.Service, Ask: d.Step == dispatch.StepSearch, Late: d.Late})
 			b.packets.Send(netip.AddrPortFrom(d.Agent, b.config.PacketPort), d.Data)
 			b.config.Metrics.Counter("packets.forwarded." + string(d.Step)).Inc(1)
 			if d.Step != dispatch.StepOwner {
-				b.decisions.Log(now, "packet_"+string(d.Step), "", "flow", packet.FlowName(d.Flow), "agent", d.Agent,
+				b.decisions.Log(now, "packet_"+string(d.Step), "", "flow", packet.FlowName(d.Flow), "agent", d.Agent, "late", d.Late,
 					"status_age_ms", now.Sub(d.Heard).Milliseconds(), "config_version", b.core.Routes().Version())
 			}
 		case dispatch.Reset:
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -54,8 +54,9 @@
 	// placed counts the flows offered since the last load report, and misses the
 	// offers in a row that stayed without an answer.
 	placed, misses int
-	// fullUntil is until when the host is taken to be full.
-	fullUntil time.Time
+	// fullUntil is until when the host is taken to be full, and busyUntil until when
+	// it is taken to have no free slot for flows that are late.
+	fullUntil, busyUntil time.Time
 }
 
 // takes reports whether the host may be offered new flows.
@@ -166,7 +167,7 @@
 	if a == nil {
 		return nil
 	}
-	a.heard, a.misses, a.fullUntil = now, 0, time.Time{}
+	a.heard, a.misses, a.fullUntil, a.busyUntil = now, 0, time.Time{}, time.Time{}
 	if l.Slots > 0 {
 		a.status.Load, a.placed = l, 0
 	}
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -64,6 +64,8 @@
 	Agent   netip.Addr
 	Service uint32
 	Step    Step
+	// Late is set when the flow will miss its latency objective.
+	Late bool
 	// Heard is when the agent was last heard of.
 	Heard time.Time
 	Data  []byte
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -34,6 +34,9 @@
 	lastCopy = 2
 )
 
+// copyDelays is how long after a first packet callers send its copies.
+var copyDelays = [lastCopy + 1]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
 // Config configures a Dispatcher.
 type Config struct {
 	// MaxFlows bounds the remembered flows. Empty means 100,000.
@@ -133,7 +136,11 @@
 		return []Decision{Reset{Flow: key, Reason: ReasonNoRoute}}
 	}
 	service := route.Pick(key.Hash())
-	e = &entry{key: key, phase: phaseOpening, first: s.Sequence, opened: true, began: now, service: packet.ServiceTag(service)}
+	e = &entry{key: key, phase: phaseOpening, first: s.Sequence, opened: true, service: packet.ServiceTag(service), priority: route.Priority}
+	e.began = now.Add(-copyDelays[min(s.Acknowledgement, lastCopy)])
+	if route.Objective > 0 {
+		e.lateAt = e.began.Add(route.Objective / 2)
+	}
 	d.flows.add(now, e)
 	return d.offer(now, e, s.Data, StepOffer, s.Acknowledgement)
 }
@@ -155,6 +162,7 @@
 // of it so far.
 func (d *Dispatcher) offer(now time.Time, e *entry, data []byte, step Step, copies uint32) (decisions []Decision) {
 	var a *agent
+	e.late = !e.lateAt.IsZero() && now.After(e.lateAt)
 	if len(e.tried) < maxOffers {
 		a = d.place(now, e)
 	}
@@ -183,7 +191,7 @@
 }
 
 func (d *Dispatcher) forward(e *entry, agent netip.Addr, step Step, data []byte) (decisions []Decision) {
-	f := Forward{Flow: e.key, Agent: agent, Service: e.service, Step: step, Data: data}
+	f := Forward{Flow: e.key, Agent: agent, Service: e.service, Step: step, Late: e.late && step.offers(), Data: data}
 	a := d.agents[agent]
 	if a == nil {
 		return []Decision{f}
@@ -280,11 +288,12 @@
 	case a == nil:
 	case reason == packet.ReturnDraining:
 		a.status.State = packet.HostDraining
-	case reason == packet.ReturnBusy:
-		a.fullUntil = now.Add(fullTime)
 	}
 	key := s.FromCaller()
 	e := d.flows.get(now, key)
+	if reason == packet.ReturnBusy && a != nil {
+		a.markFull(now, e != nil && e.late)
+	}
 	if e == nil {
 		return []Decision{Drop{Flow: key, Reason: ReasonForgotten}}
 	}
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -37,12 +37,18 @@
 	// service is the tag of the service that the flow is offered to.
 	service uint32
 	phase   phase
-	// first is the sequence number of the first packet, which came at began, if
-	// opened is set.
+	// first is the sequence number of the first packet, which the caller sent at
+	// about began, if opened is set.
 	first  uint32
 	opened bool
 	began  time.Time
-	owner  netip.Addr
+	// lateAt is when the flow has missed the latency objective of its route; zero
+	// means never. late is set if the last offer came after that.
+	lateAt time.Time
+	late   bool
+	// priority is that of the route; 0 is the highest.
+	priority int
+	owner    netip.Addr
 	// denied holds the agents whose hosts do not hold the flow.
 	denied []netip.Addr
 	// tried holds the agents that were asked, the last one at the end, and refused
--- a/internal/segment/dispatch/place.go
+++ b/internal/segment/dispatch/place.go
@@ -113,7 +113,7 @@
 
 // place returns the host for a new flow, without those that were tried, or nil.
 func (d *Dispatcher) place(now time.Time, e *entry) *agent {
-	takes := func(a *agent) bool { return d.takes(now, a) && !e.wasTried(a.address) && !now.Before(a.fullUntil) }
+	takes := func(a *agent) bool { return d.takes(now, a) && !e.wasTried(a.address) && !a.full(now, e.late) }
 	hosts := d.ranked(now, e.key, e.service, func(a *agent) bool { return takes(a) && !d.joining(now, a) })
 	if len(hosts) == 0 {
 		hosts = d.ranked(now, e.key, e.service, takes)
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -16,9 +17,10 @@
 	maxQueued = 2048
 )
 
-// queue holds the flows whose first packet waits for a host with room. The newest
-// goes first: under overload the oldest are late already, and serving them in
-// order would make all others late too.
+// queue holds the flows whose first packet waits for a host with room. Flows that
+// can still meet their latency objective go first, then those of higher priority,
+// then the newest: serving flows in the order in which they came would make all
+// of them late.
 type queue struct {
 	waiting []*entry
 	// at is when the queue is looked at next.
@@ -32,7 +34,7 @@
 		return false
 	}
 	return slices.ContainsFunc(d.services[e.service], func(a *agent) bool {
-		return d.takes(now, a) && now.Before(a.fullUntil)
+		return d.takes(now, a) && a.full(now, e.late)
 	})
 }
 
@@ -56,7 +58,11 @@
 	d.queue.waiting = nil
 	d.queue.at = now.Add(fullTime)
 	var kept []*entry
-	for _, e := range slices.Backward(waiting) {
+	for _, e := range waiting {
+		e.late = !e.lateAt.IsZero() && now.After(e.lateAt)
+	}
+	slices.SortStableFunc(waiting, byUrgency)
+	for _, e := range waiting {
 		if e.phase != phaseQueued || d.flows.flows[e.key] != e {
 			continue
 		}
@@ -64,7 +70,7 @@
 		switch {
 		case a != nil:
 			// One offer at a time tells whether the host has room.
-			a.fullUntil = now.Add(fullTime)
+			a.markFull(now, e.late)
 			a.placed++
 			e.phase, e.tried = phaseOpening, append(e.tried, a.address)
 			packet := e.packet
@@ -76,7 +82,30 @@
 			kept = append(kept, e)
 		}
 	}
-	slices.Reverse(kept)
 	d.queue.waiting = append(kept, d.queue.waiting...)
 	return decisions
 }
+
+// byUrgency orders flows that wait for a host.
+func byUrgency(a, b *entry) int {
+	if a.late != b.late {
+		if a.late {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(a.priority, b.priority), b.began.Compare(a.began))
+}
+
+// full reports whether the host is taken to have no room for a flow.
+func (a *agent) full(now time.Time, late bool) bool {
+	return now.Before(a.fullUntil) || late && now.Before(a.busyUntil)
+}
+
+// markFull notes that the host has no room for a flow, for a short time.
+func (a *agent) markFull(now time.Time, late bool) {
+	a.busyUntil = now.Add(fullTime)
+	if !late {
+		a.fullUntil = a.busyUntil
+	}
+}
--- a/internal/segment/packet/packet.go
+++ b/internal/segment/packet/packet.go
@@ -63,6 +63,9 @@
 	Service uint32
 	// Ask is set when the balancer wants to know whether the host holds the flow.
 	Ask bool
+	// Late is set when the packet opens a flow whose first request will miss its
+	// latency objective. Such a flow gets a slot of the host only if one is free.
+	Late bool
 }
 
 // FlowName returns the name of a flow in the logs of every process.
--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -22,8 +22,9 @@
 	missedAnswers = 3
 	// A host gets new flows while its work is below waitFactor times its slots and
 	// waitExtra. Work that waits longer than work in progress takes would miss what
-	// callers expect, and hosts shed what exceeds their queue.
-	waitFactor = 2
+	// callers expect, and hosts shed what exceeds their queue. Flows that are late
+	// already get free slots only, so that those which are not find room.
+	waitFactor = 1.5
 	waitExtra  = 2
 	// trialInterval is how often an unresponsive host is offered a flow.
 	trialInterval = 300 * time.Millisecond
@@ -155,7 +156,7 @@
 func (r *Relay) Cold(now time.Time) time.Duration { return max(r.host.coldEnd.Sub(now), 0) }
 
 // refuses returns why the host gets no new flow; ok is false when it may get one.
-func (r *Relay) refuses(now time.Time) (reason packet.ReturnReason, ok bool) {
+func (r *Relay) refuses(now time.Time, late bool) (reason packet.ReturnReason, ok bool) {
 	switch r.State(now) {
 	case packet.HostReady:
 	case packet.HostDraining:
@@ -171,8 +172,16 @@
 	if r.stopping {
 		return packet.ReturnNoHost, true
 	}
-	if r.load.busy+r.opening(now) >= waitFactor*r.host.slots+waitExtra {
+	if r.load.busy+r.opening(now) >= r.workLimit(late) {
 		return packet.ReturnBusy, true
 	}
 	return packet.ReturnUnspecified, false
 }
+
+// workLimit returns the work at the host from which on it gets no new flow.
+func (r *Relay) workLimit(late bool) int {
+	if late {
+		return r.host.slots
+	}
+	return int(waitFactor*float64(r.host.slots)) + waitExtra
+}
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -140,17 +140,17 @@
 		f.told = netip.Addr{}
 	}
 	if s.First() {
-		return r.handleFirst(now, key, f, balancer, s)
+		return r.handleFirst(now, key, f, balancer, l, s)
 	}
 	return r.handleLater(now, key, f, balancer, s)
 }
 
-func (r *Relay) handleFirst(now time.Time, key flow.Key, f *entry, balancer netip.Addr, s *packet.Segment) (decisions []Decision) {
+func (r *Relay) handleFirst(now time.Time, key flow.Key, f *entry, balancer netip.Addr, l packet.Label, s *packet.Segment) (decisions []Decision) {
 	if f != nil && f.state != stateAbsent && f.first == s.Sequence && !f.ended {
 		f.balancer = balancer
 		return []Decision{Deliver{Flow: key, Data: s.Data}}
 	}
-	if reason, refused := r.refuses(now); refused {
+	if reason, refused := r.refuses(now, l.Late); refused {
 		return []Decision{Return{Flow: key, Balancer: balancer, Reason: reason, Data: s.Data}}
 	}
 	r.remember(now, key, &entry{state: stateOffered, first: s.Sequence, balancer: balancer, offered: now})
--- a/internal/segment/routes/routes.go
+++ b/internal/segment/routes/routes.go
@@ -22,6 +22,10 @@
 	Name    string
 	Address netip.AddrPort
 	Targets []Target
+	// Objective is the latency objective of the route's requests. Empty means none.
+	Objective time.Duration
+	// Priority orders requests when hosts are full; 0 is the highest.
+	Priority int
 }
 
 // Config holds the parts of a Set.
