dispatch: Keep first packets while processes start

Cause: balancers and agents that start together after a loss of power met 200 ms late: a balancer asked all agents at once and again at the next turn, and first packets that came in between were dropped until the caller's copy.

Change: agents that have not answered are asked every 50 ms for 2 s, at most 32 at once; an agent whose host becomes ready tells its seeds at once while no balancer asks; a first packet waits for at most 600 ms while no host of its service takes flows, which is when the last copy would have been refused before.

--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -72,8 +72,12 @@
 	if len(a.balancers) > 0 {
 		return
 	}
-	for _, seed := range a.config.Seeds {
-		a.tell(seed, s)
+	a.tellAll(a.config.Seeds, s)
+}
+
+func (a *Agent) tellAll(addresses []netip.Addr, m message.Message) {
+	for _, address := range addresses {
+		a.tell(address, m)
 	}
 }
 
@@ -88,6 +92,9 @@
 		"heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
 	a.state = state
 	a.tellBalancers(now)
+	if len(a.balancers) == 0 {
+		a.tellAll(a.config.Seeds, a.status(now))
+	}
 }
 
 // HandleHeartbeat takes a heartbeat of the host.
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -18,6 +18,10 @@
 )
 
 const (
+	// unheardInterval is how often agents that have not answered yet are asked, and
+	// maxUnheard how many of them at once.
+	unheardInterval = 50 * time.Millisecond
+	maxUnheard      = 32
 	// digestInterval is how often balancers compare what they know.
 	digestInterval = 400 * time.Millisecond
 	// comparePause is the least time between two reads because of other agents.
@@ -109,11 +113,12 @@
 	return digest
 }
 
-// greet asks agents for their status and tells balancers what is known here.
+// greet asks agents for their status and tells balancers what is known here. Agents
+// that have not answered yet are asked more often.
 func (b *Balancer) greet(ctx context.Context) (err error) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var digestAt time.Time
+	var turnAt, digestAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -121,21 +126,45 @@
 		case <-timer.C:
 		}
 		now := time.Now()
-		interval := b.greetAgents()
+		if !now.Before(turnAt) {
+			turnAt = now.Add(b.greetTurn())
+		}
 		if now.After(digestAt) {
 			digestAt = now.Add(digestInterval)
 			b.greetBalancers(now)
 		}
-		timer.Reset(min(interval, digestInterval))
+		next := turnAt.Sub(now)
+		if b.greetUnheard(now) {
+			next = min(next, unheardInterval)
+		}
+		timer.Reset(next)
 	}
 }
 
-// greetAgents asks those agents for their status whose turn it is, and returns the
-// interval in which each gets a turn.
-func (b *Balancer) greetAgents() (interval time.Duration) {
+// greetTurn asks those agents for their status whose turn it is, and returns the
+// time to the next turn.
+func (b *Balancer) greetTurn() (wait time.Duration) {
 	b.mu.Lock()
-	interval = b.core.StatusInterval()
+	interval := b.core.StatusInterval()
 	agents := b.turn(b.core.Agents(), interval)
+	b.mu.Unlock()
+	b.hello(agents)
+	return min(interval, digestInterval)
+}
+
+// greetUnheard asks agents that have not answered yet. It reports whether there
+// are any.
+func (b *Balancer) greetUnheard(now time.Time) (some bool) {
+	b.mu.Lock()
+	agents := b.core.Unheard(now, maxUnheard)
+	b.mu.Unlock()
+	b.hello(agents)
+	return len(agents) > 0
+}
+
+// hello asks agents for their status.
+func (b *Balancer) hello(agents []netip.Addr) {
+	b.mu.Lock()
 	version := b.core.Routes().Version()
 	unlisted := make(map[netip.Addr]bool)
 	for _, address := range agents {
@@ -145,7 +174,6 @@
 	for _, address := range agents {
 		b.tell(address, message.Hello{ConfigVersion: version, Unlisted: unlisted[address]})
 	}
-	return interval
 }
 
 // turn returns the agents that are asked now. Where the interval is longer than
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -24,6 +24,8 @@
 	// balancers know it too: a flow that they cannot find would be reset. It covers
 	// a slow answer of the store and the pause between two reads of its changes.
 	joinTime = time.Second
+	// unheardTime is how long an agent that became known is asked more often.
+	unheardTime = 2 * time.Second
 	// avoidAfterMisses is how many first packets in a row an agent may leave
 	// unanswered before it is avoided until its next message.
 	avoidAfterMisses = 2
@@ -182,6 +184,17 @@
 	return addresses
 }
 
+// Unheard returns agents, at most limit, that became known lately and have not
+// answered yet: they are starting, or a message was lost.
+func (d *Dispatcher) Unheard(now time.Time, limit int) (addresses []netip.Addr) {
+	for _, a := range d.order {
+		if len(addresses) < limit && !a.known && now.Sub(a.added) < unheardTime {
+			addresses = append(addresses, a.address)
+		}
+	}
+	return addresses
+}
+
 // Heard returns the agents that answered lately, whether the store lists them or not.
 func (d *Dispatcher) Heard(now time.Time) (addresses []netip.Addr) {
 	for _, a := range d.order {
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -142,7 +142,7 @@
 		e.lateAt = e.began.Add(route.Objective / 2)
 	}
 	d.flows.add(now, e)
-	return d.offer(now, e, s.Data, StepOffer, s.Acknowledgement)
+	return d.offer(now, e, s.Data, StepOffer)
 }
 
 func (d *Dispatcher) handleCopy(now time.Time, e *entry, s *packet.Segment) (decisions []Decision) {
@@ -155,12 +155,11 @@
 		return d.forward(e, e.answers[0].agent, StepRepeat, s.Data)
 	}
 	e.tried, e.refused = nil, 0
-	return d.offer(now, e, s.Data, StepOffer, s.Acknowledgement)
+	return d.offer(now, e, s.Data, StepOffer)
 }
 
-// offer sends a first packet to the next host. copies counts the caller's copies
-// of it so far.
-func (d *Dispatcher) offer(now time.Time, e *entry, data []byte, step Step, copies uint32) (decisions []Decision) {
+// offer sends a first packet to the next host.
+func (d *Dispatcher) offer(now time.Time, e *entry, data []byte, step Step) (decisions []Decision) {
 	var a *agent
 	e.late = !e.lateAt.IsZero() && now.After(e.lateAt)
 	if len(e.tried) < maxOffers {
@@ -180,10 +179,6 @@
 	if d.mayQueue(now, e) {
 		return d.enqueue(now, e, data)
 	}
-	if len(e.tried) == 0 && copies < lastCopy {
-		// Hosts that restart are back before the caller's last copy.
-		return []Decision{Drop{Flow: e.key, Reason: ReasonNoHost}}
-	}
 	if len(e.tried) == 0 {
 		return d.reset(e, 0, ReasonNoHost)
 	}
@@ -305,7 +300,7 @@
 		if e.last() != agent && e.refused < len(e.tried) {
 			return nil
 		}
-		return d.offer(now, e, s.Data, StepNextOffer, s.Acknowledgement)
+		return d.offer(now, e, s.Data, StepNextOffer)
 	}
 	gone := reason == packet.ReturnNotHeld || reason == packet.ReturnWrongService
 	if gone && !slices.Contains(e.denied, agent) {
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -13,6 +13,9 @@
 	// queueTime bounds the wait of a first packet for a host with room. Callers give
 	// up 1.4 s after their first packet.
 	queueTime = 1200 * time.Millisecond
+	// noHostTime bounds the wait while no host of the service takes flows. Processes
+	// that restart are back within it, and callers send no copy after it.
+	noHostTime = 600 * time.Millisecond
 	// maxQueued bounds the first packets that wait.
 	maxQueued = 2048
 )
@@ -28,16 +31,32 @@
 }
 
 // mayQueue reports whether a first packet should wait because hosts of its service
-// take flows but all of them are full.
+// take flows but all of them are full, or because no host takes flows yet.
 func (d *Dispatcher) mayQueue(now time.Time, e *entry) bool {
-	if now.Sub(e.began) >= queueTime || len(d.queue.waiting) >= maxQueued {
+	if now.Sub(e.began) >= d.maxWait(now, e) || len(d.queue.waiting) >= maxQueued {
 		return false
 	}
+	if len(e.tried) == 0 {
+		return true
+	}
 	return slices.ContainsFunc(d.services[e.service], func(a *agent) bool {
 		return d.takes(now, a) && a.full(now, e.late)
 	})
 }
 
+// maxWait returns how long a first packet may wait for a host.
+func (d *Dispatcher) maxWait(now time.Time, e *entry) time.Duration {
+	if d.hasHost(now, e) {
+		return queueTime
+	}
+	return noHostTime
+}
+
+// hasHost reports whether a host of the flow's service takes new flows.
+func (d *Dispatcher) hasHost(now time.Time, e *entry) bool {
+	return slices.ContainsFunc(d.services[e.service], func(a *agent) bool { return d.takes(now, a) })
+}
+
 func (d *Dispatcher) enqueue(now time.Time, e *entry, data []byte) (decisions []Decision) {
 	e.phase, e.tried, e.refused, e.deadline = phaseQueued, nil, 0, time.Time{}
 	e.packet = append(e.packet[:0:0], data...)
@@ -76,8 +95,12 @@
 			packet := e.packet
 			d.wait(now, e, packet, offerTimeout)
 			decisions = append(decisions, d.forward(e, a.address, StepQueued, packet)...)
-		case now.Sub(e.began) >= queueTime:
-			decisions = append(decisions, d.reset(e, 0, ReasonOverload)...)
+		case now.Sub(e.began) >= d.maxWait(now, e):
+			reason := ReasonOverload
+			if !d.hasHost(now, e) {
+				reason = ReasonNoHost
+			}
+			decisions = append(decisions, d.reset(e, 0, reason)...)
 		default:
 			kept = append(kept, e)
 		}
--- a/internal/segment/dispatch/queue_test.go
+++ b/internal/segment/dispatch/queue_test.go
@@ -123,11 +123,11 @@
 	b.is.Equal(f.Flow, from(1000).FromCaller())
 
 	b.is.Equal(len(b.HandleReturned(b.now, agent, from(1000), packet.ReturnBusy, packet.Load{})), 1)
+	b.later(queueTime)
 	for i := range 3 {
 		b.status(host(i), "studio", packet.HostReady)
 		b.agents[host(i)].fullUntil = b.now.Add(time.Hour)
 	}
-	b.later(queueTime)
 	resets := 0
 	for _, d := range b.Tick(b.now) {
 		if r, ok := d.(Reset); ok && r.Reason == ReasonOverload {
@@ -136,3 +136,38 @@
 	}
 	b.is.True(resets > 0)
 }
+
+// Guards against first packets that are dropped because their balancer has just
+// started and no agent has answered it yet: the caller's copy comes 200 ms later.
+func TestFirstPacketWaitsForHost(t *testing.T) {
+	b := newObjectiveBench(t)
+	for i := range 3 {
+		b.status(host(i), "studio", packet.HostUnknown)
+	}
+	s := firstPacket(1, studioAddr, 0)
+	b.is.Equal(b.HandlePacket(b.now, s), []Decision{Drop{Flow: s.FromCaller(), Reason: ReasonQueued}})
+	b.later(fullTime)
+	b.is.Equal(len(b.Tick(b.now)), 0)
+	b.status(host(1), "studio", packet.HostReady)
+	b.later(fullTime)
+	b.is.Equal(b.forward(b.Tick(b.now)).Agent, host(1))
+
+	b.status(host(1), "studio", packet.HostDraining)
+	s = firstPacket(2, studioAddr, 1)
+	b.HandlePacket(b.now, s)
+	b.later(noHostTime - copyDelays[1])
+	b.is.Equal(b.Tick(b.now), []Decision{Reset{Flow: s.FromCaller(), Reason: ReasonNoHost}})
+}
+
+// Guards against agents that start together with a balancer and get no flows until
+// the next round of status requests, and against requests to agents without end.
+func TestUnheardAgents(t *testing.T) {
+	b := newBench(t)
+	b.SetListed(b.now, []netip.Addr{host(0), host(3), host(4)})
+	b.is.Equal(b.Unheard(b.now, 9), []netip.Addr{host(3), host(4)})
+	b.is.Equal(len(b.Unheard(b.now, 1)), 1)
+	b.status(host(3), "studio", packet.HostReady)
+	b.is.Equal(b.Unheard(b.now, 9), []netip.Addr{host(4)})
+	b.later(unheardTime)
+	b.is.Equal(len(b.Unheard(b.now, 9)), 0)
+}
--- a/internal/segment/dispatch/search.go
+++ b/internal/segment/dispatch/search.go
@@ -104,7 +104,7 @@
 		if a := d.agents[e.last()]; a != nil {
 			a.misses++
 		}
-		return d.offer(now, e, data, StepHedge, 0)
+		return d.offer(now, e, data, StepHedge)
 	case phaseSearching:
 		return d.search(now, e, data)
 	case phaseLost, phaseSettled, phaseQueued:
