dispatch: Ask no agent twice for a flow that it denied

Logs of all processes count 411,162 searches in 4 s: each packet of a flow that had died was shown to 64 agents one after the other, and most replies were lost at balancers with 0.04 of a core. The queue of first packets and the order of hosts cost processor time there as well: both went over all hosts, with a map and a sort, for each packet that waited.

Change: a denial is believed for 5 s, so that only agents that have not denied a flow are asked again. The first two hosts of a flow are found in one pass with a median latency that is at most 50 ms old; the queue is sorted only when a host may have room, and looks at each host once; the timer keeps its first deadline. An agent whose host is younger than half the pause of its heartbeats when it first hears of it knows all its flows, and need not ask the host.

--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"agateramp/internal/segment/packet"
 )
 
@@ -45,8 +47,10 @@
 // agent is what is known of one agent and its host.
 type agent struct {
 	address netip.Addr
-	status  Status
-	tag     uint32
+	// seed is a hash of the address.
+	seed   uint64
+	status Status
+	tag    uint32
 	// listed says whether the store has an entry of the agent.
 	listed    bool
 	known     bool
@@ -112,7 +116,8 @@
 func (d *Dispatcher) agent(now time.Time, address netip.Addr) *agent {
 	a := d.agents[address]
 	if a == nil {
-		a = &agent{address: address, added: now}
+		octets := address.As16()
+		a = &agent{address: address, seed: xxhash.Sum64(octets[:]), added: now}
 		d.agents[address] = a
 		d.order = append(d.order, a)
 	}
@@ -143,7 +148,10 @@
 	if !a.known || a.status.Service != s.Service {
 		d.leaveService(a)
 		a.tag = packet.ServiceTag(s.Service)
-		d.services[a.tag] = append(d.services[a.tag], a)
+		if d.services[a.tag] == nil {
+			d.services[a.tag] = &service{}
+		}
+		d.services[a.tag].agents = append(d.services[a.tag].agents, a)
 	}
 	a.known, a.heard, a.status = true, now, s
 	a.coldUntil = now.Add(s.Cold)
@@ -156,12 +164,20 @@
 	if !a.known {
 		return
 	}
-	rest := slices.DeleteFunc(d.services[a.tag], func(other *agent) bool { return other == a })
-	if len(rest) == 0 {
+	s := d.services[a.tag]
+	s.agents = slices.DeleteFunc(s.agents, func(other *agent) bool { return other == a })
+	if len(s.agents) == 0 {
 		delete(d.services, a.tag)
-		return
 	}
-	d.services[a.tag] = rest
+}
+
+// hosts returns the agents of a service whose status is known.
+func (d *Dispatcher) hosts(tag uint32) []*agent {
+	s := d.services[tag]
+	if s == nil {
+		return nil
+	}
+	return s.agents
 }
 
 func (d *Dispatcher) handleLoad(now time.Time, address netip.Addr, l packet.Load) *agent {
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -6,7 +6,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +21,9 @@
 	offerTimeout = 50 * time.Millisecond
 	// searchTimeout is how long an agent may take to say that it does not hold a flow.
 	searchTimeout = 30 * time.Millisecond
+	// deniedTime is how long the word of an agent that its host does not hold a flow
+	// is believed. The caller's port may be used for a new flow after that.
+	deniedTime = 5 * time.Second
 	// searchPause is how long a flow that was not found is not looked for again. It
 	// is shorter than the first retransmission of callers, 200 ms.
 	searchPause = 150 * time.Millisecond
@@ -55,11 +57,13 @@
 	agents  map[netip.Addr]*agent
 	order   []*agent
 	// services holds the agents whose status is known, by the tag of their service.
-	services map[uint32][]*agent
+	services map[uint32]*service
 	flows    *table
-	// pending holds the entries with a deadline.
-	pending []*entry
-	queue   queue
+	// pending holds the entries with a deadline, and earliest is not after the first
+	// of the deadlines.
+	pending  []*entry
+	earliest time.Time
+	queue    queue
 	// listedAt is when the store's list of agents was first read.
 	listedAt time.Time
 	// complete is set while the store has every agent that can be reached.
@@ -76,7 +80,7 @@
 	}
 	return &Dispatcher{
 		dataCentre: c.DataCentre, removed: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
-		services: make(map[uint32][]*agent), flows: newTable(c.MaxFlows),
+		services: make(map[uint32]*service), flows: newTable(c.MaxFlows),
 	}, nil
 }
 
@@ -167,7 +171,7 @@
 	}
 	if a != nil {
 		a.placed++
-		e.tried = append(e.tried, a.address)
+		e.tried = append(e.tried, a)
 		d.wait(now, e, data, offerTimeout)
 		return d.forward(e, a.address, step, data)
 	}
@@ -213,7 +217,7 @@
 			return d.search(now, e, s.Data)
 		}
 		// The caller has an answer that this balancer was not told of yet.
-		return d.forward(e, e.last(), StepOwner, s.Data)
+		return d.forward(e, e.last().address, StepOwner, s.Data)
 	case phaseLost:
 		if now.Before(e.retryAt) {
 			return []Decision{Drop{Flow: e.key, Reason: ReasonNotFound}}
@@ -224,7 +228,7 @@
 		if len(e.tried) == 0 {
 			return d.search(now, e, s.Data)
 		}
-		return d.forward(e, e.last(), StepSearch, s.Data)
+		return d.forward(e, e.last().address, StepSearch, s.Data)
 	}
 	return nil
 }
@@ -277,8 +281,8 @@
 }
 
 // HandleReturned decides on a packet that an agent gave back.
-func (d *Dispatcher) HandleReturned(now time.Time, agent netip.Addr, s *packet.Segment, reason packet.ReturnReason, l packet.Load) (decisions []Decision) {
-	a := d.handleLoad(now, agent, l)
+func (d *Dispatcher) HandleReturned(now time.Time, from netip.Addr, s *packet.Segment, reason packet.ReturnReason, l packet.Load) (decisions []Decision) {
+	a := d.handleLoad(now, from, l)
 	switch {
 	case a == nil:
 	case reason == packet.ReturnDraining:
@@ -293,32 +297,35 @@
 		return []Decision{Drop{Flow: key, Reason: ReasonForgotten}}
 	}
 	if s.First() {
-		if e.phase != phaseOpening || e.first != s.Sequence || !e.wasTried(agent) {
+		if e.phase != phaseOpening || e.first != s.Sequence || !e.wasTried(a) {
 			return []Decision{Drop{Flow: key, Reason: ReasonForgotten}}
 		}
 		e.refused++
-		if e.last() != agent && e.refused < len(e.tried) {
+		if e.last() != a && e.refused < len(e.tried) {
 			return nil
 		}
 		return d.offer(now, e, s.Data, StepNextOffer)
 	}
 	gone := reason == packet.ReturnNotHeld || reason == packet.ReturnWrongService
-	if gone && !slices.Contains(e.denied, agent) {
-		e.denied = append(e.denied, agent)
+	if gone && a != nil {
+		e.deny(now, a)
 	}
 	switch {
-	case e.phase == phaseSettled && e.owner == agent && gone:
+	case e.phase == phaseSettled && e.owner == from && gone:
 		// A flow never moves, so no other host holds it.
 		return d.reset(e, s.Acknowledgement, ReasonHostLost)
-	case e.phase == phaseSettled && e.owner != agent:
+	case e.phase == phaseSettled && e.owner != from:
 		// The owner became known while the packet was under way.
 		return d.forward(e, e.owner, StepOwner, s.Data)
-	case e.phase == phaseSearching && e.last() != agent:
-		return d.forward(e, e.last(), StepSearch, s.Data)
+	case e.phase == phaseSearching && e.last() != a && e.last() != nil:
+		return d.forward(e, e.last().address, StepSearch, s.Data)
 	case e.phase == phaseLost:
 		return []Decision{Drop{Flow: key, Reason: ReasonNotFound}}
 	case e.phase != phaseSearching:
-		e.phase, e.tried, e.refused, e.answers = phaseSearching, []netip.Addr{agent}, 0, nil
+		e.phase, e.tried, e.refused, e.answers = phaseSearching, nil, 0, nil
+		if a != nil {
+			e.tried = []*agent{a}
+		}
 	}
 	e.acknowledged = s.Acknowledgement
 	return d.search(now, e, s.Data)
--- a/internal/segment/dispatch/dispatch_test.go
+++ b/internal/segment/dispatch/dispatch_test.go
@@ -445,3 +445,30 @@
 		})
 	}
 }
+
+// Guards against a search that asks all agents again for each packet of a flow that
+// no host holds, and against denials that outlive the flow they were about.
+func TestDenialsAreRemembered(t *testing.T) {
+	b := newBench(t)
+	s := segment(packet.ACK, 101, 5001)
+	asked := func() (agents int) {
+		decisions := b.HandlePacket(b.now, s)
+		for {
+			f, forwarded := decisions[0].(Forward)
+			if !forwarded {
+				b.is.Equal(decisions, []Decision{Drop{Flow: s.FromCaller(), Reason: ReasonNotFound}})
+				return agents
+			}
+			agents++
+			decisions = b.HandleReturned(b.now, f.Agent, s, packet.ReturnNotHeld, packet.Load{})
+		}
+	}
+	b.is.Equal(asked(), 4)
+	b.later(searchPause)
+	b.is.Equal(asked(), 0)
+	b.status(host(4), "studio", packet.HostReady) // an agent that was not asked yet
+	b.later(searchPause)
+	b.is.Equal(asked(), 1)
+	b.later(deniedTime)
+	b.is.Equal(asked(), 5)
+}
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -49,11 +49,13 @@
 	// priority is that of the route; 0 is the highest.
 	priority int
 	owner    netip.Addr
-	// denied holds the agents whose hosts do not hold the flow.
-	denied []netip.Addr
+	// denied holds the agents whose hosts do not hold the flow, the first of which
+	// said so at deniedAt.
+	denied   []*agent
+	deniedAt time.Time
 	// tried holds the agents that were asked, the last one at the end, and refused
 	// counts how many of them returned the packet.
-	tried   []netip.Addr
+	tried   []*agent
 	refused int
 	answers []answer
 	// acknowledged is the caller's last acknowledgement, for a reset.
@@ -70,15 +72,33 @@
 	element *list.Element
 }
 
-func (e *entry) wasTried(agent netip.Addr) bool { return slices.Contains(e.tried, agent) }
+func (e *entry) wasTried(a *agent) bool { return slices.Contains(e.tried, a) }
 
-func (e *entry) last() (agent netip.Addr) {
+// last returns the agent that was asked last, or nil.
+func (e *entry) last() *agent {
 	if len(e.tried) == 0 {
-		return netip.Addr{}
+		return nil
 	}
 	return e.tried[len(e.tried)-1]
 }
 
+// deny notes that the host of an agent does not hold the flow.
+func (e *entry) deny(now time.Time, a *agent) {
+	if len(e.denied) == 0 {
+		e.deniedAt = now
+	}
+	if !slices.Contains(e.denied, a) {
+		e.denied = append(e.denied, a)
+	}
+}
+
+// forgetDenials drops denials that are too old to be believed.
+func (e *entry) forgetDenials(now time.Time) {
+	if now.Sub(e.deniedAt) > deniedTime {
+		e.denied = nil
+	}
+}
+
 // settle records the owner and drops what was kept for the search.
 func (e *entry) settle(owner netip.Addr) {
 	e.phase, e.owner = phaseSettled, owner
--- a/internal/segment/dispatch/place.go
+++ b/internal/segment/dispatch/place.go
@@ -5,15 +5,13 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"agateramp/internal/core/flow"
 )
 
 const (
-	// choices is how many hosts a new flow is weighed over. Two random choices
-	// bound the share that a host gets while its load report is old.
-	choices = 2
+	// typicalAge bounds the age of a service's typical latency. It is a quarter of the
+	// interval of status requests.
+	typicalAge = 50 * time.Millisecond
 	// nearMargin is how much later a host in the balancer's data centre may be expected
 	// to answer than the best other one. Traffic between data centres is paid for; a
 	// larger margin would leave hosts idle where few callers are.
@@ -27,39 +25,73 @@
 	maxSpeedRatio = 8
 )
 
-// ranked returns the agents of a service that pass the filter in the weighted
-// rendezvous order of the flow.
-func (d *Dispatcher) ranked(now time.Time, key flow.Key, tag uint32, filter func(a *agent) bool) (hosts []*agent) {
-	for _, a := range d.services[tag] {
-		if filter(a) {
-			hosts = append(hosts, a)
+// service is the agents of one service.
+type service struct {
+	agents []*agent
+	// typical is the median of the agents' latencies at measuredAt.
+	typical    time.Duration
+	measuredAt time.Time
+}
+
+// typicalLatency returns the median of the measured latencies, which may be
+// typicalAge old.
+func (s *service) typicalLatency(now time.Time) time.Duration {
+	if s.typical > 0 && now.Sub(s.measuredAt) < typicalAge {
+		return s.typical
+	}
+	var measured []time.Duration
+	for _, a := range s.agents {
+		if a.status.Load.Latency > 0 {
+			measured = append(measured, a.status.Load.Latency)
 		}
 	}
-	if len(hosts) < 2 {
-		return hosts
+	s.typical, s.measuredAt = defaultLatency, now
+	if len(measured) > 0 {
+		slices.Sort(measured)
+		s.typical = measured[len(measured)/2]
 	}
-	typical := typicalLatency(hosts)
-	hash := key.Hash()
-	scores := make(map[*agent]float64, len(hosts))
-	for _, a := range hosts {
-		scores[a] = draw(hash, a) / a.weight(now, typical)
+	return s.typical
+}
+
+// leaders are the first hosts of a service in the weighted rendezvous order of a flow.
+type leaders struct {
+	first, second *agent
+	// near is the first one in the data centre of the balancer.
+	near    *agent
+	typical time.Duration
+}
+
+// lead returns the leaders among the agents of a service that pass the filter.
+func (d *Dispatcher) lead(now time.Time, key flow.Key, tag uint32, filter func(a *agent) bool) (l leaders) {
+	s := d.services[tag]
+	if s == nil {
+		return l
 	}
-	slices.SortFunc(hosts, func(a, b *agent) int {
+	l.typical = s.typicalLatency(now)
+	hash := key.Hash()
+	var first, second, near float64
+	for _, a := range s.agents {
+		if !filter(a) {
+			continue
+		}
+		score := draw(hash, a.seed) / a.weight(now, l.typical)
 		switch {
-		case scores[a] < scores[b]:
-			return -1
-		case scores[a] > scores[b]:
-			return 1
+		case l.first == nil || score < first:
+			l.second, second = l.first, first
+			l.first, first = a, score
+		case l.second == nil || score < second:
+			l.second, second = a, score
 		}
-		return a.address.Compare(b.address)
-	})
-	return hosts
+		if d.dataCentre != "" && a.status.DataCentre == d.dataCentre && (l.near == nil || score < near) {
+			l.near, near = a, score
+		}
+	}
+	return l
 }
 
 // draw returns an exponentially distributed value for a flow and a host.
-func draw(hash uint64, a *agent) float64 {
-	b := a.address.As16()
-	h := xxhash.Sum64(b[:]) ^ hash
+func draw(hash, seed uint64) float64 {
+	h := seed ^ hash
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
 	h ^= h >> 33
@@ -68,21 +100,6 @@
 	return -math.Log((float64(h>>11) + 1) / (1 << 53))
 }
 
-// typicalLatency returns the median of the measured latencies.
-func typicalLatency(hosts []*agent) time.Duration {
-	var measured []time.Duration
-	for _, a := range hosts {
-		if a.status.Load.Latency > 0 {
-			measured = append(measured, a.status.Load.Latency)
-		}
-	}
-	if len(measured) == 0 {
-		return defaultLatency
-	}
-	slices.Sort(measured)
-	return measured[len(measured)/2]
-}
-
 // weight is the share of new flows that a host should get.
 func (a *agent) weight(now time.Time, typical time.Duration) float64 {
 	speed := float64(typical) / float64(a.latency(now, typical))
@@ -111,37 +128,24 @@
 	return float64(a.latency(now, typical)) * (1 + queue + used/(1-used) + waiting/slots/2)
 }
 
-// place returns the host for a new flow, without those that were tried, or nil.
+// place returns the host for a new flow, without those that were tried, or nil. It
+// weighs the first two in the rendezvous order: two random choices bound the share
+// that a host gets while its load report is old.
 func (d *Dispatcher) place(now time.Time, e *entry) *agent {
-	takes := func(a *agent) bool { return d.takes(now, a) && !e.wasTried(a.address) && !a.full(now, e.late) }
-	hosts := d.ranked(now, e.key, e.service, func(a *agent) bool { return takes(a) && !d.joining(now, a) })
-	if len(hosts) == 0 {
-		hosts = d.ranked(now, e.key, e.service, takes)
+	takes := func(a *agent) bool { return d.takes(now, a) && !e.wasTried(a) && !a.full(now, e.late) }
+	l := d.lead(now, e.key, e.service, func(a *agent) bool { return takes(a) && !d.joining(now, a) })
+	if l.first == nil {
+		l = d.lead(now, e.key, e.service, takes)
 	}
-	if len(hosts) == 0 {
+	best := l.first
+	if best == nil {
 		return nil
 	}
-	typical := typicalLatency(hosts)
-	best := hosts[0]
-	for _, a := range hosts[1:min(len(hosts), choices)] {
-		if a.cost(now, typical) < best.cost(now, typical) {
-			best = a
-		}
+	if l.second != nil && l.second.cost(now, l.typical) < best.cost(now, l.typical) {
+		best = l.second
 	}
-	if near := d.nearest(hosts); near != nil && near.cost(now, typical) <= nearMargin*best.cost(now, typical) {
-		return near
+	if l.near != nil && l.near.cost(now, l.typical) <= nearMargin*best.cost(now, l.typical) {
+		return l.near
 	}
 	return best
 }
-
-// nearest returns the first of the ranked hosts in the balancer's data centre, or nil.
-func (d *Dispatcher) nearest(hosts []*agent) *agent {
-	if d.dataCentre == "" {
-		return nil
-	}
-	i := slices.IndexFunc(hosts, func(a *agent) bool { return a.status.DataCentre == d.dataCentre })
-	if i < 0 {
-		return nil
-	}
-	return hosts[i]
-}
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -33,28 +33,20 @@
 // mayQueue reports whether a first packet should wait because hosts of its service
 // take flows but all of them are full, or because no host takes flows yet.
 func (d *Dispatcher) mayQueue(now time.Time, e *entry) bool {
-	if now.Sub(e.began) >= d.maxWait(now, e) || len(d.queue.waiting) >= maxQueued {
+	if len(d.queue.waiting) >= maxQueued {
 		return false
 	}
-	if len(e.tried) == 0 {
-		return true
+	age := now.Sub(e.began)
+	full, some := false, false
+	for _, a := range d.hosts(e.service) {
+		takes := d.takes(now, a)
+		some = some || takes
+		full = full || takes && a.full(now, e.late)
 	}
-	return slices.ContainsFunc(d.services[e.service], func(a *agent) bool {
-		return d.takes(now, a) && a.full(now, e.late)
-	})
-}
-
-// maxWait returns how long a first packet may wait for a host.
-func (d *Dispatcher) maxWait(now time.Time, e *entry) time.Duration {
-	if d.hasHost(now, e) {
-		return queueTime
+	if some {
+		return age < queueTime && (full || len(e.tried) == 0)
 	}
-	return noHostTime
-}
-
-// hasHost reports whether a host of the flow's service takes new flows.
-func (d *Dispatcher) hasHost(now time.Time, e *entry) bool {
-	return slices.ContainsFunc(d.services[e.service], func(a *agent) bool { return d.takes(now, a) })
+	return age < noHostTime && len(e.tried) == 0
 }
 
 func (d *Dispatcher) enqueue(now time.Time, e *entry, data []byte) (decisions []Decision) {
@@ -67,8 +59,8 @@
 	return []Decision{Drop{Flow: e.key, Reason: ReasonQueued}}
 }
 
-// release offers waiting flows to hosts that may have room, newest first, and ends
-// those that have waited for too long.
+// release offers waiting flows to hosts that may have room, the most urgent first,
+// and ends those that have waited for too long.
 func (d *Dispatcher) release(now time.Time) (decisions []Decision) {
 	if len(d.queue.waiting) == 0 || now.Before(d.queue.at) {
 		return nil
@@ -76,31 +68,31 @@
 	waiting := d.queue.waiting
 	d.queue.waiting = nil
 	d.queue.at = now.Add(fullTime)
-	var kept []*entry
 	for _, e := range waiting {
 		e.late = !e.lateAt.IsZero() && now.After(e.lateAt)
 	}
-	slices.SortStableFunc(waiting, byUrgency)
+	rooms := make(map[uint32]*room)
+	if d.anyRoom(now, waiting, rooms) {
+		slices.SortStableFunc(waiting, byUrgency)
+	}
+	var kept []*entry
 	for _, e := range waiting {
 		if e.phase != phaseQueued || d.flows.flows[e.key] != e {
 			continue
 		}
-		a := d.place(now, e)
+		r := rooms[e.service]
+		a := d.placeIn(now, e, r)
 		switch {
 		case a != nil:
 			// One offer at a time tells whether the host has room.
 			a.markFull(now, e.late)
 			a.placed++
-			e.phase, e.tried = phaseOpening, append(e.tried, a.address)
+			e.phase, e.tried = phaseOpening, append(e.tried, a)
 			packet := e.packet
 			d.wait(now, e, packet, offerTimeout)
 			decisions = append(decisions, d.forward(e, a.address, StepQueued, packet)...)
-		case now.Sub(e.began) >= d.maxWait(now, e):
-			reason := ReasonOverload
-			if !d.hasHost(now, e) {
-				reason = ReasonNoHost
-			}
-			decisions = append(decisions, d.reset(e, 0, reason)...)
+		case now.Sub(e.began) >= r.maxWait:
+			decisions = append(decisions, d.reset(e, 0, r.reason)...)
 		default:
 			kept = append(kept, e)
 		}
@@ -109,6 +101,51 @@
 	return decisions
 }
 
+// room says what the hosts of a service have for the flows that wait.
+type room struct {
+	// maxWait bounds the wait, and reason says why a flow ends after it.
+	maxWait time.Duration
+	reason  Reason
+	// full is set once no host has room for any flow, and busy once none has a free
+	// slot for a late one.
+	full, busy bool
+}
+
+// anyRoom fills in the rooms of the services that flows wait for, and reports
+// whether a host may take one of them.
+func (d *Dispatcher) anyRoom(now time.Time, waiting []*entry, rooms map[uint32]*room) (some bool) {
+	for _, e := range waiting {
+		if rooms[e.service] != nil {
+			continue
+		}
+		r := &room{maxWait: noHostTime, reason: ReasonNoHost, full: true, busy: true}
+		for _, a := range d.hosts(e.service) {
+			if !d.takes(now, a) {
+				continue
+			}
+			r.maxWait, r.reason = queueTime, ReasonOverload
+			r.full = r.full && a.full(now, false)
+			r.busy = r.busy && a.full(now, true)
+		}
+		rooms[e.service] = r
+		some = some || !r.full
+	}
+	return some
+}
+
+// placeIn returns the host for a flow that waits, or nil.
+func (d *Dispatcher) placeIn(now time.Time, e *entry, r *room) *agent {
+	if r.full || e.late && r.busy {
+		return nil
+	}
+	a := d.place(now, e)
+	if a == nil {
+		// What is true for one flow that waits is true for the others.
+		r.busy, r.full = true, r.full || !e.late
+	}
+	return a
+}
+
 // byUrgency orders flows that wait for a host.
 func byUrgency(a, b *entry) int {
 	if a.late != b.late {
--- a/internal/segment/dispatch/search.go
+++ b/internal/segment/dispatch/search.go
@@ -19,7 +19,7 @@
 		e.phase, e.deadline, e.packet, e.retryAt = phaseLost, time.Time{}, nil, now.Add(searchPause)
 		return []Decision{Drop{Flow: e.key, Reason: ReasonNotFound}}
 	}
-	e.tried = append(e.tried, next.address)
+	e.tried = append(e.tried, next)
 	d.wait(now, e, data, searchTimeout)
 	return d.forward(e, next.address, StepSearch, data)
 }
@@ -31,7 +31,7 @@
 		return false
 	}
 	for _, a := range d.order {
-		if !a.known || d.silent(now, a) || !slices.Contains(e.denied, a.address) {
+		if !a.known || d.silent(now, a) || !slices.Contains(e.denied, a) {
 			return false
 		}
 	}
@@ -40,12 +40,13 @@
 
 // nextCandidate returns the next agent to ask. Agents that do not answer come last.
 func (d *Dispatcher) nextCandidate(now time.Time, e *entry) *agent {
-	untried := func(a *agent) bool { return !e.wasTried(a.address) }
+	e.forgetDenials(now)
+	untried := func(a *agent) bool { return !e.wasTried(a) && !slices.Contains(e.denied, a) }
 	answering := func(a *agent) bool { return untried(a) && !d.silent(now, a) }
 	tags := d.routeTags(e)
 	for _, tag := range tags {
-		if hosts := d.ranked(now, e.key, tag, answering); len(hosts) > 0 {
-			return hosts[0]
+		if best := d.lead(now, e.key, tag, answering).first; best != nil {
+			return best
 		}
 	}
 	for _, filter := range []func(a *agent) bool{answering, untried} {
@@ -64,31 +65,38 @@
 		d.pending = append(d.pending, e)
 	}
 	e.deadline = now.Add(timeout)
+	d.wakeBy(e.deadline)
 }
 
-// Next returns when Tick has something to do; ok is false when nothing waits.
-func (d *Dispatcher) Next() (at time.Time, ok bool) {
-	for _, e := range d.pending {
-		if !e.deadline.IsZero() && (!ok || e.deadline.Before(at)) {
-			at, ok = e.deadline, true
-		}
+func (d *Dispatcher) wakeBy(at time.Time) {
+	if d.earliest.IsZero() || at.Before(d.earliest) {
+		d.earliest = at
 	}
-	if len(d.queue.waiting) > 0 && (!ok || d.queue.at.Before(at)) {
-		return d.queue.at, true
+}
+
+// Next returns when Tick may have something to do; ok is false when nothing waits.
+func (d *Dispatcher) Next() (at time.Time, ok bool) {
+	at = d.earliest
+	if len(d.queue.waiting) > 0 && (at.IsZero() || d.queue.at.Before(at)) {
+		at = d.queue.at
 	}
-	return at, ok
+	return at, !at.IsZero()
 }
 
 // Tick moves on from agents that have not answered in time.
 func (d *Dispatcher) Tick(now time.Time) (decisions []Decision) {
+	if d.earliest.IsZero() || now.Before(d.earliest) {
+		return d.release(now)
+	}
 	due := d.pending
-	d.pending = nil
+	d.pending, d.earliest = nil, time.Time{}
 	for _, e := range due {
 		switch {
 		case e.deadline.IsZero():
 			e.pending = false
 		case now.Before(e.deadline):
 			d.pending = append(d.pending, e)
+			d.wakeBy(e.deadline)
 		default:
 			e.deadline, e.pending = time.Time{}, false
 			decisions = append(decisions, d.next(now, e)...)
@@ -101,7 +109,7 @@
 	data := e.packet
 	switch e.phase {
 	case phaseOpening:
-		if a := d.agents[e.last()]; a != nil {
+		if a := e.last(); a != nil {
 			a.misses++
 		}
 		return d.offer(now, e, data, StepHedge)
--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -36,6 +36,8 @@
 	// milliseconds. The same ID may come back with a later Born.
 	ID   string
 	Born int64
+	// Age is the time since the start by the clock of the machine, which may step.
+	Age time.Duration
 	// Sequence increases with each heartbeat of one start.
 	Sequence int64
 	State    packet.HostState
@@ -99,8 +101,11 @@
 	if !first {
 		decisions = r.dropFlows(now)
 	}
-	// An agent that starts beside its host may have missed flows of the host.
-	r.host = host{id: b.ID, born: b.Born, complete: !first, answered: now, since: now}
+	// An agent that starts beside its host may have missed flows of the host. A host
+	// that is younger than the pause between two heartbeats has had none acknowledged
+	// by an earlier agent, which would have refused its flows.
+	young := b.Age >= 0 && b.Age < r.heartbeat/2
+	r.host = host{id: b.ID, born: b.Born, complete: !first || young, answered: now, since: now}
 	r.update(now, b)
 	return VerdictNewHost, decisions
 }
--- a/internal/segment/relay/relay_test.go
+++ b/internal/segment/relay/relay_test.go
@@ -34,7 +34,7 @@
 	is := is.New(t)
 	r, err := New(Config{Service: "studio", Heartbeat: heartbeat, FlowLifetime: time.Minute})
 	is.NoErr(err)
-	b := &bench{Relay: r, is: is, now: start, beat: Heartbeat{ID: "i-1", Born: 1000, Sequence: 1, State: packet.HostReady, Slots: 2}}
+	b := &bench{Relay: r, is: is, now: start, beat: Heartbeat{ID: "i-1", Born: 1000, Age: time.Hour, Sequence: 1, State: packet.HostReady, Slots: 2}}
 	if !running {
 		verdict, _ := b.HandleHeartbeat(b.now, Heartbeat{ID: "i-0", Born: 1, Sequence: 9, State: packet.HostReady})
 		is.Equal(verdict, VerdictNewHost)
@@ -297,7 +297,7 @@
 	is := is.New(t)
 	r, err := New(Config{Service: "studio", Heartbeat: heartbeat, FlowLifetime: time.Minute})
 	is.NoErr(err)
-	r.HandleHeartbeat(start, Heartbeat{ID: "i-1", Born: 1000, Sequence: 1, State: packet.HostReady})
+	r.HandleHeartbeat(start, Heartbeat{ID: "i-1", Born: 1000, Age: time.Hour, Sequence: 1, State: packet.HostReady})
 	decisions := r.HandleFromBalancer(start, balancer, label, fromCaller(packet.ACK, 400, 6000, 300))
 	_, delivered := decisions[0].(Deliver)
 	is.True(delivered) // the host is asked
@@ -307,6 +307,32 @@
 	is.True(returned) // flows from before the agent's start are too old
 }
 
+// Guards against agents that cannot say that their host holds nothing when both
+// have just started, and against agents that say so of a host that ran before: the
+// clock may have stepped back since the host's start.
+func TestYoungHost(t *testing.T) {
+	cases := []struct {
+		name     string
+		age      time.Duration
+		complete bool
+	}{
+		{"started with the agent", heartbeat / 4, true},
+		{"ran before", heartbeat, false},
+		{"starts in the future", -time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r, err := New(Config{Service: "studio", Heartbeat: heartbeat})
+			is.NoErr(err)
+			r.HandleHeartbeat(start, Heartbeat{ID: "i-1", Born: 1000, Age: c.age, Sequence: 2, State: packet.HostReady, Slots: 2})
+			decisions := r.HandleFromBalancer(start, balancer, label, fromCaller(packet.ACK, 400, 6000, 300))
+			_, returned := decisions[0].(Return)
+			is.Equal(returned, c.complete)
+		})
+	}
+}
+
 // Guards against a host that gets more work than it can do in time while others
 // may have room.
 func TestFullHost(t *testing.T) {
