--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -177,10 +177,19 @@
 	}{
 		{"all answer", func(*bench) {}, netip.Addr{}, true},
 		{"store away", func(b *bench) { b.SetComplete(false) }, netip.Addr{}, false},
+		{"agent silent and no longer listed", func(b *bench) {
+			b.SetListed(b.now, []netip.Addr{host(0), host(1), host(9)})
+			b.later(silentAfter + time.Millisecond)
+			for i := range 2 {
+				b.status(host(i), "studio", packet.HostReady)
+			}
+			b.status(host(9), "archive", packet.HostReady)
+		}, host(2), true},
 		{"agent listed but not heard of", func(b *bench) {
 			b.SetListed(b.now, []netip.Addr{host(0), host(1), host(2), host(9), host(20)})
 		}, host(20), false},
 		{"agent silent", func(b *bench) {
+			b.SetListed(b.now, []netip.Addr{host(0), host(1), host(2), host(9)})
 			b.later(silentAfter + time.Millisecond)
 			for i := range 2 {
 				b.status(host(i), "studio", packet.HostReady)
