hosted: Add a status command that reads the platform's store

Cause: under the platform the product's status command could only say that it cannot connect, so people on call had no command that tells what the store holds and which machines are behind.

Change: agateramp-hosted status prints the configuration version, the agents and what cannot be read, and compares the version of the machines that it is given with that of the store. It fails when one is behind or the store does not answer.

--- a/internal/cli/hosted/hosted.go
+++ b/internal/cli/hosted/hosted.go
@@ -43,6 +43,7 @@
 type cli struct {
 	Balancer balancerCommand `cmd:"" help:"Run a balancer that takes packets from the platform's routers."`
 	Agent    agentCommand    `cmd:"" help:"Run the agent beside a host of the platform."`
+	Status   statusCommand   `cmd:"" help:"Print what the store holds, and whether machines have the newest configuration."`
 }
 
 // environment is what commands write to; tests replace it.
@@ -90,6 +91,14 @@
 	MetricsPort uint16 `default:"9464" help:"Port that serves metrics at /metrics; 0 for none."`
 }
 
+// settingsPath returns the path of the settings file.
+func settingsPath(flag string) string {
+	if flag == "" {
+		return os.Getenv(platform.SettingsVariable)
+	}
+	return flag
+}
+
 // process is what both roles have.
 type process struct {
 	settings platform.Settings
@@ -105,9 +114,7 @@
 const softMemoryShare = 0.6
 
 func (f *flags) start(env *environment, role string, withHost bool) (p *process, finish func() error, err error) {
-	if f.Settings == "" {
-		f.Settings = os.Getenv(platform.SettingsVariable)
-	}
+	f.Settings = settingsPath(f.Settings)
 	s, err := platform.LoadSettings(f.Settings, withHost)
 	if err != nil {
 		return nil, nil, errors.WithMessage(errUsage, err.Error())
--- /dev/null
+++ b/internal/cli/hosted/status.go
@@ -0,0 +1,146 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"agateramp/internal/keyvalue/store"
+	"agateramp/internal/segment/registry"
+	"agateramp/internal/segment/routes"
+	"agateramp/platform"
+)
+
+// statusTimeout bounds the calls of the status command.
+const statusTimeout = 3 * time.Second
+
+// statusCommand tells what the store holds and whether machines have it in force.
+type statusCommand struct {
+	Settings    string       `help:"YAML file with the platform's settings of any balancer or agent. Empty means the file that the platform's variable names."`
+	MetricsPort uint16       `default:"9464" help:"Port that serves metrics."`
+	Machines    []netip.Addr `help:"Addresses of machines whose configuration version is compared with the store's."`
+}
+
+// status is the output of the status command.
+type status struct {
+	ConfigVersion    uint64          `json:"config_version"`
+	Routes           int             `json:"routes"`
+	UnreadableRoutes int             `json:"unreadable_routes"`
+	Agents           []agentStatus   `json:"agents"`
+	Unreadable       []string        `json:"unreadable_entries,omitempty"`
+	Machines         []machineStatus `json:"machines,omitempty"`
+}
+
+// agentStatus is the entry of an agent in the store.
+type agentStatus struct {
+	registry.Entry
+	// Revision is the store's revision at the last write of the entry.
+	Revision int64 `json:"revision"`
+}
+
+// machineStatus says which configuration a process has in force (a balancer) or
+// has heard of (an agent).
+type machineStatus struct {
+	Address       netip.Addr `json:"address"`
+	ConfigVersion uint64     `json:"config_version"`
+	Behind        bool       `json:"behind"`
+	Error         string     `json:"error,omitempty"`
+}
+
+// errBehind says that a machine does not have the newest configuration.
+var errBehind = errors.New("a machine does not have the newest configuration or does not answer")
+
+// Run prints the status as JSON.
+func (c *statusCommand) Run(env *environment) (err error) {
+	s, err := platform.LoadSettings(settingsPath(c.Settings), false)
+	if err != nil {
+		return errors.WithMessage(errUsage, err.Error())
+	}
+	client := platform.NewStore(s.Store, func(string, time.Duration, error) {})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	report, err := readStatus(ctx, client, platform.ConfigKey, platform.DecodeConfig)
+	if err != nil {
+		return err
+	}
+	behind := false
+	for _, address := range c.Machines {
+		m := readMachine(ctx, netip.AddrPortFrom(address, c.MetricsPort), report.ConfigVersion)
+		behind = behind || m.Behind
+		report.Machines = append(report.Machines, m)
+	}
+	encoder := json.NewEncoder(env.stdout)
+	encoder.SetIndent("", "  ")
+	if err = encoder.Encode(report); err != nil {
+		return err
+	}
+	if behind {
+		return errBehind
+	}
+	return nil
+}
+
+// readStatus reads the operator's configuration and the entries of agents.
+func readStatus(ctx context.Context, s store.Store, configKey string, decode func([]byte) (*routes.Set, error)) (report status, err error) {
+	defer func() { err = errors.WithMessage(err, "status") }()
+	config, _, err := s.Get(ctx, configKey)
+	if err != nil {
+		return report, err
+	}
+	if config != nil {
+		set, err := decode(config.Value)
+		if err != nil {
+			return report, err
+		}
+		report.ConfigVersion, report.Routes, report.UnreadableRoutes = set.Version(), set.Len(), set.Unreadable()
+	}
+	entries, _, err := s.List(ctx, registry.Prefix)
+	if err != nil {
+		return report, err
+	}
+	for _, entry := range entries {
+		e, err := registry.DecodeEntry(entry.Value)
+		if err != nil {
+			report.Unreadable = append(report.Unreadable, entry.Key)
+			continue
+		}
+		report.Agents = append(report.Agents, agentStatus{Entry: e, Revision: entry.ModRevision})
+	}
+	return report, nil
+}
+
+// readMachine reads the configuration version from the metrics of a process.
+func readMachine(ctx context.Context, address netip.AddrPort, newest uint64) (m machineStatus) {
+	m.Address = address.Addr()
+	version, err := metricsVersion(ctx, address)
+	if err != nil {
+		m.Error = err.Error()
+	}
+	m.ConfigVersion, m.Behind = version, err != nil || version < newest
+	return m
+}
+
+func metricsVersion(ctx context.Context, address netip.AddrPort) (version uint64, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	var metrics map[string]struct {
+		Value json.Number `json:"value"`
+	}
+	if err = json.NewDecoder(response.Body).Decode(&metrics); err != nil {
+		return 0, errors.WithMessage(err, "metrics")
+	}
+	return strconv.ParseUint(metrics["config.version"].Value.String(), 10, 64)
+}
