dispatch: Wait for agents that the store does not list yet

Cause: read again, the change that takes a silent agent without an entry as gone could reset living flows. A balancer that has just started trusts the list of the store at once, and an agent whose entry lapsed may be known from another balancer and not have answered yet; an agent in a planned restart is silent for a while too.

Two cases of TestDeadFlow guard against it; both fail with the code before.

--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -227,12 +227,7 @@
 		return false
 	}
 	for _, a := range d.order {
-		silent := !a.known || d.silent(now, a)
-		if silent && !a.listed {
-			// The store's list is complete, so the agent is gone.
-			continue
-		}
-		if silent || !slices.Contains(e.denied, a) {
+		if !a.known || d.silent(now, a) || !slices.Contains(e.denied, a) {
 			return false
 		}
 	}
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -177,14 +177,18 @@
 	}{
 		{"all answer", func(*bench) {}, netip.Addr{}, true},
 		{"store away", func(b *bench) { b.SetComplete(false) }, netip.Addr{}, false},
-		{"agent silent and no longer listed", func(b *bench) {
+		{"agent silent and not listed yet", func(b *bench) {
 			b.SetListed(b.now, []netip.Addr{host(0), host(1), host(9)})
 			b.later(silentAfter + time.Millisecond)
 			for i := range 2 {
 				b.status(host(i), "studio", packet.HostReady)
 			}
 			b.status(host(9), "archive", packet.HostReady)
-		}, host(2), true},
+		}, host(2), false},
+		{"agent heard of through others", func(b *bench) {
+			b.SetListed(b.now, []netip.Addr{host(0), host(1), host(2), host(9)})
+			b.Learn(b.now, []netip.Addr{host(20)})
+		}, host(20), false},
 		{"agent listed but not heard of", func(b *bench) {
 			b.SetListed(b.now, []netip.Addr{host(0), host(1), host(2), host(9), host(20)})
 		}, host(20), false},
