--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -61,7 +61,6 @@
 	case message.Digest:
 		b.balancers[from] = now
 		b.heardVersion(from, m.ConfigVersion)
-		b.core.Vouch(now, m.Complete)
 		if m.Agents != b.agentsDigest(now) && now.After(b.compareAt) {
 			b.compareAt = now.Add(comparePause)
 			b.want(from)
@@ -213,7 +212,7 @@
 	if len(targets) == 0 {
 		targets = slices.DeleteFunc(slices.Clone(b.config.Seeds), func(a netip.Addr) bool { return a == b.config.Address })
 	}
-	digest := message.Digest{ConfigVersion: b.core.Routes().Version(), Agents: b.agentsDigest(now), Complete: b.core.CompleteDigest()}
+	digest := message.Digest{ConfigVersion: b.core.Routes().Version(), Agents: b.agentsDigest(now)}
 	b.mu.Unlock()
 	for _, address := range targets {
 		b.tell(address, digest)
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -26,10 +26,6 @@
 	// balancers know it too: a flow that they cannot find would be reset. It covers
 	// a slow answer of the store and the pause between two reads of its changes.
 	joinTime = time.Second
-	// vouchTime is how long the word of another balancer that the known agents are all
-	// counts. It is shorter than joinTime: a new agent that the other balancer did not
-	// know yet has no flows before.
-	vouchTime = 600 * time.Millisecond
 	// unheardTime is how long an agent that became known is asked more often.
 	unheardTime = 2 * time.Second
 	// avoidAfterMisses is how many first packets in a row an agent may leave
@@ -110,31 +106,6 @@
 // store answers, and has for as long as entries take to come back.
 func (d *Dispatcher) SetComplete(complete bool) { d.complete = complete }
 
-// Digest returns a hash of the known agents.
-func (d *Dispatcher) Digest() (digest uint64) {
-	for _, a := range d.order {
-		digest ^= a.seed
-	}
-	return digest
-}
-
-// CompleteDigest returns Digest if the known agents are all that can be reached, and
-// 0 otherwise.
-func (d *Dispatcher) CompleteDigest() uint64 {
-	if !d.complete {
-		return 0
-	}
-	return d.Digest()
-}
-
-// Vouch takes the CompleteDigest of another balancer. If the same agents are known
-// here, they are all that can be reached, although the store may be out of reach.
-func (d *Dispatcher) Vouch(now time.Time, complete uint64) {
-	if complete != 0 && complete == d.Digest() {
-		d.vouchedUntil = now.Add(vouchTime)
-	}
-}
-
 // Learn adds agents that another process knows.
 func (d *Dispatcher) Learn(now time.Time, addresses []netip.Addr) {
 	for _, address := range addresses {
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -67,10 +67,8 @@
 	lookups  lookups
 	// listedAt is when the store's list of agents was first read.
 	listedAt time.Time
-	// complete is set while the store has every agent that can be reached, and
-	// vouchedUntil is until when another balancer says so of the known agents.
-	complete     bool
-	vouchedUntil time.Time
+	// complete is set while the store has every agent that can be reached.
+	complete bool
 }
 
 // New returns a dispatcher without routes and agents.
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -223,7 +223,7 @@
 // heldNowhere reports whether every host that there can be has said that it does
 // not hold the flow. An agent that does not answer may hold it.
 func (d *Dispatcher) heldNowhere(now time.Time, e *entry) bool {
-	if !d.complete && !now.Before(d.vouchedUntil) || len(d.order) == 0 {
+	if !d.complete || len(d.order) == 0 {
 		return false
 	}
 	for _, a := range d.order {
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -177,24 +177,6 @@
 	}{
 		{"all answer", func(*bench) {}, netip.Addr{}, true},
 		{"store away", func(b *bench) { b.SetComplete(false) }, netip.Addr{}, false},
-		{"store away, another balancer knows the same agents", func(b *bench) {
-			complete := b.CompleteDigest()
-			b.SetComplete(false)
-			b.is.Equal(b.CompleteDigest(), uint64(0))
-			b.Vouch(b.now, complete)
-		}, netip.Addr{}, true},
-		{"store away, another balancer knows others", func(b *bench) {
-			complete := b.CompleteDigest()
-			b.SetComplete(false)
-			b.Vouch(b.now, complete^1)
-			b.Vouch(b.now, 0)
-		}, netip.Addr{}, false},
-		{"store away, another balancer knew the same agents", func(b *bench) {
-			complete := b.CompleteDigest()
-			b.SetComplete(false)
-			b.Vouch(b.now, complete)
-			b.later(vouchTime)
-		}, netip.Addr{}, false},
 		{"agent silent and not listed yet", func(b *bench) {
 			b.SetListed(b.now, []netip.Addr{host(0), host(1), host(9)})
 			b.later(silentAfter + time.Millisecond)
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -72,11 +72,8 @@
 // Digest tells another balancer what the sender knows.
 type Digest struct {
 	ConfigVersion uint64
-	// Agents is a hash of the agents that answered lately.
+	// Agents is a hash of the known agents.
 	Agents uint64
-	// Complete is a hash of all known agents if the sender knows that there are no
-	// others, and 0 otherwise.
-	Complete uint64
 }
 
 func (Hello) message()    {}
@@ -113,7 +110,7 @@
 			Held: encodeFlows(m.Held), Denied: encodeFlows(m.Denied), Unsure: encodeFlows(m.Unsure), Load: encodeLoad(m.Load),
 		}}
 	case Digest:
-		pb.Body = &datapathpb.Message_Digest{Digest: &datapathpb.Digest{ConfigVersion: m.ConfigVersion, Agents: m.Agents, Complete: m.Complete}}
+		pb.Body = &datapathpb.Message_Digest{Digest: &datapathpb.Digest{ConfigVersion: m.ConfigVersion, Agents: m.Agents}}
 	}
 	return proto.Marshal(pb)
 }
@@ -143,9 +140,7 @@
 			Held: decodeFlows(l.GetHeld()), Denied: decodeFlows(l.GetDenied()), Unsure: decodeFlows(l.GetUnsure()), Load: decodeLoad(l.GetLoad()),
 		}, nil
 	case *datapathpb.Message_Digest:
-		return Digest{
-			ConfigVersion: body.Digest.GetConfigVersion(), Agents: body.Digest.GetAgents(), Complete: body.Digest.GetComplete(),
-		}, nil
+		return Digest{ConfigVersion: body.Digest.GetConfigVersion(), Agents: body.Digest.GetAgents()}, nil
 	}
 	return nil, errUnknown
 }
--- a/internal/segment/message/message_test.go
+++ b/internal/segment/message/message_test.go
@@ -24,7 +24,7 @@
 		},
 		Accepted{Flow: key, Sequence: 0xfffffffe, Handshake: true, Load: load},
 		Returned{Reason: packet.ReturnBusy, Packet: []byte{1, 2, 3}, Load: load},
-		Digest{ConfigVersion: 3, Agents: 1 << 63, Complete: 1 << 62},
+		Digest{ConfigVersion: 3, Agents: 1 << 63},
 		Lookup{Flows: []flow.Key{key, other}},
 		Located{Held: []flow.Key{key}, Denied: []flow.Key{other, key}, Unsure: []flow.Key{other}, Load: load},
 	}
