dispatch: Name the lateness of a flow and the end of a wait

Read-through: one expression for whether a flow misses its objective, and the time before which waiting flows began in place of a duration.

--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -166,7 +166,7 @@
 // offer sends a first packet to the next host.
 func (d *Dispatcher) offer(now time.Time, e *entry, data []byte, step Step) (decisions []Decision) {
 	var a *agent
-	e.late = !e.lateAt.IsZero() && now.After(e.lateAt)
+	e.late = e.missesObjective(now)
 	if len(e.tried) < maxOffers {
 		a = d.place(now, e)
 	}
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -42,8 +42,8 @@
 	first  uint32
 	opened bool
 	began  time.Time
-	// lateAt is when the flow has missed the latency objective of its route; zero
-	// means never. late is set if the last offer came after that.
+	// lateAt is when half of the latency objective of the route has passed; zero means
+	// that there is none. late is set if the last offer came after that.
 	lateAt time.Time
 	late   bool
 	// priority is that of the route; 0 is the highest.
@@ -84,6 +84,10 @@
 	element *list.Element
 }
 
+// missesObjective reports whether the flow has missed the latency objective of its
+// route, or will.
+func (e *entry) missesObjective(now time.Time) bool { return !e.lateAt.IsZero() && now.After(e.lateAt) }
+
 func (e *entry) wasTried(a *agent) bool { return slices.Contains(e.tried, a) }
 
 // last returns the agent that was asked last, or nil.
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -69,7 +69,7 @@
 	d.queue.waiting = nil
 	d.queue.at = now.Add(fullTime)
 	for _, e := range waiting {
-		e.late = !e.lateAt.IsZero() && now.After(e.lateAt)
+		e.late = e.missesObjective(now)
 	}
 	rooms := make(map[uint32]*room)
 	if d.anyRoom(now, waiting, rooms) {
@@ -91,7 +91,7 @@
 			packet := e.packet
 			d.wait(now, e, packet, offerTimeout)
 			decisions = append(decisions, d.forward(e, a.address, StepQueued, packet)...)
-		case now.Sub(e.began) >= r.maxWait:
+		case !e.began.After(r.endedBefore):
 			decisions = append(decisions, d.reset(e, 0, r.reason)...)
 		default:
 			kept = append(kept, e)
@@ -103,9 +103,10 @@
 
 // room says what the hosts of a service have for the flows that wait.
 type room struct {
-	// maxWait bounds the wait, and reason says why a flow ends after it.
-	maxWait time.Duration
-	reason  Reason
+	// endedBefore is when the flows began that have waited for too long, and reason
+	// says why they end.
+	endedBefore time.Time
+	reason      Reason
 	// full is set once no host has room for any flow, and busy once none has a free
 	// slot for a late one.
 	full, busy bool
@@ -118,12 +119,12 @@
 		if rooms[e.service] != nil {
 			continue
 		}
-		r := &room{maxWait: noHostTime, reason: ReasonNoHost, full: true, busy: true}
+		r := &room{endedBefore: now.Add(-noHostTime), reason: ReasonNoHost, full: true, busy: true}
 		for _, a := range d.hosts(e.service) {
 			if !d.takes(now, a) {
 				continue
 			}
-			r.maxWait, r.reason = queueTime, ReasonOverload
+			r.endedBefore, r.reason = now.Add(-queueTime), ReasonOverload
 			r.full = r.full && a.full(now, false)
 			r.busy = r.busy && a.full(now, true)
 		}
