registry: Take back the short lease of an agent without a host

Cause: each start of an agent wrote its entry twice, and each write wakes the watch of every balancer.

--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -129,9 +129,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	verdict, decisions := a.core.HandleHeartbeat(now, b)
-	if verdict == relay.VerdictNewHost {
-		a.keeper.Confirm()
-	}
 	if verdict != relay.VerdictAccepted {
 		logging.Line(level.Info(a.config.Logger), "event", "heartbeat_"+string(verdict), "host", b.ID, "born", b.Born,
 			"sequence", b.Sequence, "state", b.State, "current", a.core.HostID())
--- a/internal/segment/registry/keeper.go
+++ b/internal/segment/registry/keeper.go
@@ -17,17 +17,11 @@
 	// leaseSeconds is the lifetime of an agent's entry. Balancers judge the agent by
 	// its answers, so the entry may outlive it for a while.
 	leaseSeconds = 10
-	// unconfirmedLeaseSeconds is the lifetime of the entry before the agent has heard
-	// from its host. A machine that is switched on again may have none and go away, and
-	// flows that no host holds are not reset while the store lists a silent agent.
-	unconfirmedLeaseSeconds = 3
 	// verifyInterval is the least time between two looks whether the entry is there.
 	// Every balancer asks for one while its list is older than the entry.
 	verifyInterval = time.Second
 	// renewInterval leaves two more attempts before the lease expires.
 	renewInterval = 3 * time.Second
-	// unconfirmedRenewInterval does the same for an entry that is not confirmed.
-	unconfirmedRenewInterval = time.Second
 )
 
 // KeeperConfig configures a Keeper.
@@ -49,14 +43,10 @@
 	lease  store.LeaseID
 	// doubts wakes Run to look whether the entry is still there; seen is when it was
 	// last known to be.
-	doubts chan struct{}
-	seen   time.Time
-	// confirmations wakes Run when the agent has heard from its host; confirmed is set
-	// from then on.
-	confirmations chan struct{}
-	confirmed     bool
-	doubted       bool
-	lost          bool
+	doubts  chan struct{}
+	seen    time.Time
+	doubted bool
+	lost    bool
 }
 
 // NewKeeper checks c and returns a keeper that Run starts.
@@ -68,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Keeper{config: c, value: value, doubts: make(chan struct{}, 1), confirmations: make(chan struct{}, 1)}, nil
+	return &Keeper{config: c, value: value, doubts: make(chan struct{}, 1)}, nil
 }
 
 // Doubt makes the keeper look whether its entry is still in the store.
@@ -79,14 +69,6 @@
 	}
 }
 
-// Confirm tells the keeper that the agent has heard from its host.
-func (k *Keeper) Confirm() {
-	select {
-	case k.confirmations <- struct{}{}:
-	default:
-	}
-}
-
 // Run keeps the entry until ctx ends. The entry stays then, because the agent may
 // be about to restart.
 func (k *Keeper) Run(ctx context.Context) (err error) {
@@ -118,11 +100,7 @@
 // wait returns when the lease is to be renewed, or when the entry is in doubt and
 // was not looked at lately.
 func (k *Keeper) wait(ctx context.Context) {
-	interval := renewInterval
-	if !k.confirmed {
-		interval = unconfirmedRenewInterval
-	}
-	timer := time.NewTimer(interval)
+	timer := time.NewTimer(renewInterval)
 	defer timer.Stop()
 	for {
 		select {
@@ -130,12 +108,6 @@
 			return
 		case <-timer.C:
 			return
-		case <-k.confirmations:
-			if !k.confirmed {
-				// The next renewal writes the entry under a lease of full length.
-				k.confirmed, k.lease = true, 0
-				return
-			}
 		case <-k.doubts:
 			if time.Since(k.seen) < verifyInterval {
 				continue
@@ -155,11 +127,7 @@
 		}
 		k.lease = 0
 	}
-	seconds := int64(leaseSeconds)
-	if !k.confirmed {
-		seconds = unconfirmedLeaseSeconds
-	}
-	lease, err := k.config.Store.Grant(ctx, seconds)
+	lease, err := k.config.Store.Grant(ctx, leaseSeconds)
 	if err != nil {
 		return err
 	}
