balancer: Let three balancers watch the store for all

Cause: every balancer watched the configuration and the list of agents, and every agent listed all balancers in each status.

Change: balancers rank each other by processor share and address from the digests that they exchange; the first three watch the store, the others read configuration and list of agents from a view, with the store's revision, and never go back to an older one. A balancer watches itself when no watcher has current data. A list counts as complete only while a watcher with current data says so, and 1.2 s after the store's return; before, 3 s from the store's loss, which a long outage used up before entries could come back. An agent that no balancer asks sends its status to those it knew and to the seeds. Statuses list four balancers, digests get rarer with the number of balancers, and only agents with a new entry are greeted after a change of the list. The first two reads of the store time out after 350 and 600 ms.

--- a/internal/cli/hosted/hosted.go
+++ b/internal/cli/hosted/hosted.go
@@ -256,7 +256,7 @@
 	}
 	s := p.settings
 	b, err := balancer.New(balancer.Config{
-		DataCentre: s.DataCentre, Address: s.Address, PacketPort: s.PacketAddress.Port(), PeerPort: s.PeerPort, Seeds: s.Seeds, Codec: platform.PacketCodec{},
+		DataCentre: s.DataCentre, CPUPermille: s.CPUPermille, Address: s.Address, PacketPort: s.PacketAddress.Port(), PeerPort: s.PeerPort, Seeds: s.Seeds, Codec: platform.PacketCodec{},
 		Store: p.store, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		MaxFlows: int(s.MemoryBytes / flowMemoryDivisor / bytesPerFlow), StopTimeout: s.StopTimeout * 2 / 3,
 		Logger: p.logger, Metrics: p.metrics, Group: p.tasks,
--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -84,8 +84,17 @@
 	// balancerTTL is how long after its last Hello a balancer is sent messages. Balancers of a fleet of 700 hosts send
 	// each agent a Hello every 7 s.
 	balancerTTL = 10 * time.Second
-	// seedInterval is how often the status is sent to seeds while no balancer sends a Hello.
-	seedInterval = 500 * time.Millisecond
+	// unaskedInterval is how often the status is sent to the known balancers and the seeds while none sends a Hello.
+	unaskedInterval = 500 * time.Millisecond
+	// minHelloSilence is the shortest time without a Hello after which balancers are sent the status unasked. If Hellos
+	// are rare, it is silentGaps times the usual time between two of them. helloGapWeight is the weight of a new gap in
+	// its moving average.
+	minHelloSilence = 600 * time.Millisecond
+	silentGaps      = 4
+	helloGapWeight  = 0.1
+	// maxReportedBalancers is the most balancers that a status lists. Each status lists others, so that balancers learn
+	// of all.
+	maxReportedBalancers = 4
 	// removeTimeout limits the time to remove the agent's entry from the store after the host has ended.
 	removeTimeout = 500 * time.Millisecond
 	// handshakeGraceTime is how long a stopping agent goes on, so that handshakes in progress can complete.
@@ -105,6 +114,10 @@
 	core *relay.Relay
 	// balancers holds the known balancers and when each last sent a Hello.
 	balancers map[netip.Addr]time.Time
+	// lastHelloAt is when the last Hello arrived; zero means that none has. helloGap is a moving average of the time
+	// between two Hellos.
+	lastHelloAt time.Time
+	helloGap    time.Duration
 	// configVersion is the newest configuration version in a Hello, and configHolder the last balancer that sent it.
 	configVersion uint64
 	configHolder  netip.Addr
@@ -162,7 +175,7 @@
 	g.Go("keep store entry", a.registrar.Run)
 	g.Every("unanswered packets", tickInterval, a.checkHost)
 	g.Every("housekeeping", housekeepingInterval, a.doHousekeeping)
-	g.Every("seeds", seedInterval, a.sendStatusToSeeds)
+	g.Every("unasked status", unaskedInterval, a.sendStatusUnasked)
 }
 
 func (a *Agent) handlePacket(now time.Time, from netip.Addr, data []byte) {
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -33,7 +33,7 @@
 // handleHello records the balancer, and its configuration version if none is newer, and answers with the status.
 // a.mu must be held.
 func (a *Agent) handleHello(now time.Time, from netip.Addr, m message.Hello) {
-	a.balancers[from] = now
+	a.recordHello(now, from)
 	if m.ConfigVersion >= a.configVersion {
 		a.configVersion, a.configHolder = m.ConfigVersion, from
 	}
@@ -43,6 +43,20 @@
 	a.sendMessage(from, a.status(now))
 }
 
+// recordHello records that a balancer has sent a Hello. a.mu must be held.
+func (a *Agent) recordHello(now time.Time, from netip.Addr) {
+	a.balancers[from] = now
+	if !a.lastHelloAt.IsZero() {
+		// A silence says nothing of the usual gap.
+		gap := min(now.Sub(a.lastHelloAt), a.helloSilence())
+		a.helloGap += time.Duration(helloGapWeight * float64(gap-a.helloGap))
+	}
+	a.lastHelloAt = now
+}
+
+// helloSilence returns the time without a Hello after which balancers are sent the status unasked. a.mu must be held.
+func (a *Agent) helloSilence() time.Duration { return max(minHelloSilence, silentGaps*a.helloGap) }
+
 // answerLookup returns the answer to a Lookup. a.mu must be held.
 func (a *Agent) answerLookup(now time.Time, from netip.Addr, m message.Lookup) (l message.Located) {
 	a.config.Metrics.Counter("lookups.answered").Inc(1)
@@ -73,7 +87,9 @@
 			delete(a.balancers, address)
 			continue
 		}
-		s.Balancers = append(s.Balancers, address)
+		if len(s.Balancers) < maxReportedBalancers {
+			s.Balancers = append(s.Balancers, address)
+		}
 	}
 	return s
 }
@@ -93,16 +109,19 @@
 	}
 }
 
-// sendStatusToSeeds sends the status to the seeds if no balancer is known, so that balancers learn of the agent while
-// the store is unreachable.
-func (a *Agent) sendStatusToSeeds() {
+// sendStatusUnasked sends the status to all known balancers and to the seeds if none has sent a Hello for a while: the
+// balancers may have restarted and not know of the agent, because its entry in the store lapsed or cannot be read.
+func (a *Agent) sendStatusUnasked() {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s := a.status(now)
-	if len(a.balancers) > 0 {
+	if now.Sub(a.lastHelloAt) <= a.helloSilence() {
 		return
 	}
+	s := a.status(now)
+	for address := range a.balancers {
+		a.sendMessage(address, s)
+	}
 	a.sendToAll(a.config.Seeds, s)
 }
 
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -23,7 +23,7 @@
 	"agateramp/internal/segment/dispatch"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
-	"agateramp/internal/segment/registry"
+	"agateramp/internal/segment/peers"
 	"agateramp/internal/segment/routes"
 	"agateramp/internal/segment/socket"
 )
@@ -39,6 +39,9 @@
 	PeerPort uint16
 	// DataCentre is the data centre of the balancer. If empty, no host is preferred for being near.
 	DataCentre string
+	// CPUPermille is the share of a processor core that the balancer may use, in thousandths. Balancers with more are
+	// preferred for watching the store. If zero, all others are preferred.
+	CPUPermille int
 	// Seeds are addresses of machines that may run a balancer. The balancer contacts them while it knows no other
 	// balancer or has no configuration. If empty, it learns of other balancers only from agents and from balancers
 	// that contact it.
@@ -88,19 +91,24 @@
 	// viewRequests holds balancers whose view is to be read: they have a newer configuration or know other agents.
 	viewRequests chan netip.Addr
 
+	// digestWake makes exchangeStatus send digests at once, because this balancer has read a change from the store.
+	digestWake chan struct{}
+
 	// mu guards the fields below.
 	mu sync.Mutex
 	// core makes the decisions.
 	core *dispatch.Dispatcher
-	// storeLostAt is when the store last became unreachable; storeDown is set while it is unreachable; agentsListed
-	// is set once the agents' entries have been read from it.
-	storeLostAt  time.Time
-	storeDown    bool
-	agentsListed bool
+	// peers are the other balancers.
+	peers *peers.Set
+	// list is the store's list of agents.
+	list agentList
+	// watching is set while this balancer watches the store.
+	watching bool
+	// storeDown is set while the store is unreachable, and storeReturnedAt is when it became reachable again; it is
+	// zero if it has been reachable since the balancer began to watch it.
+	storeDown       bool
+	storeReturnedAt time.Time
 
-	// balancers holds the other known balancers and when each last sent a digest. Until a balancer sends one, the time
-	// is when an agent or another balancer first reported it.
-	balancers map[netip.Addr]time.Time
 	// timerDueAt is when runTimer calls the dispatcher next.
 	timerDueAt time.Time
 	// nextAgent is the index of the first agent in the next part of a poll.
@@ -124,9 +132,13 @@
 	if err != nil {
 		return nil, err
 	}
+	others, err := peers.New(peers.Config{Self: c.Address, CPUPermille: c.CPUPermille})
+	if err != nil {
+		return nil, err
+	}
 	b = &Balancer{
-		config: c, core: core, decisions: logging.NewDecisionLog(c.Logger), balancers: make(map[netip.Addr]time.Time),
-		timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16),
+		config: c, core: core, decisions: logging.NewDecisionLog(c.Logger), peers: others,
+		timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16), digestWake: make(chan struct{}, 1),
 	}
 	if b.packetSocket, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PacketPort), c.Metrics); err != nil {
 		return nil, err
@@ -141,19 +153,6 @@
 }
 
 func (b *Balancer) start() (err error) {
-	retries := registry.NewRetryBudget()
-	configMirror, err := registry.NewMirror(registry.MirrorConfig{
-		Store: b.config.Store, Prefix: b.config.ConfigKey, BatchInterval: configBatchInterval, OnChange: b.handleConfigEntries, OnReachable: b.handleStoreReachable, RetryBudget: retries, Logger: b.config.Logger,
-	})
-	if err != nil {
-		return err
-	}
-	agentsMirror, err := registry.NewMirror(registry.MirrorConfig{
-		Store: b.config.Store, Prefix: registry.KeyPrefix, BatchInterval: agentsBatchInterval, OnChange: b.handleAgentEntries, RetryBudget: retries, Logger: b.config.Logger,
-	})
-	if err != nil {
-		return err
-	}
 	if err = b.serveView(); err != nil {
 		return err
 	}
@@ -169,20 +168,13 @@
 	g.Go("timer", b.runTimer)
 	g.Go("poll agents", b.exchangeStatus)
 	g.Go("read views", b.readViews)
-	g.Go("mirror configuration", configMirror.Run)
-	g.Go("mirror agents", agentsMirror.Run)
+	g.Go("watch store", b.watchStore)
 	g.Every("housekeeping", housekeepingInterval, b.doHousekeeping)
 	return nil
 }
 
-const (
-	// configBatchInterval and agentsBatchInterval are the least times between two reads of changes from the store, so
-	// that changes close together are applied at once.
-	configBatchInterval = 150 * time.Millisecond
-	agentsBatchInterval = 200 * time.Millisecond
-	// housekeepingInterval is how often idle flows are removed and gauges updated.
-	housekeepingInterval = time.Second
-)
+// housekeepingInterval is how often idle flows are removed and gauges updated.
+const housekeepingInterval = time.Second
 
 func (b *Balancer) handlePacket(now time.Time, _ netip.Addr, data []byte) {
 	s, err := b.config.Codec.Decode(data)
@@ -288,29 +280,18 @@
 	m.Gauge("flows").Update(int64(b.core.FlowCount()))
 	m.Gauge("agents.answering").Update(int64(b.core.AnsweringCount(now)))
 	m.Gauge("agents.known").Update(int64(len(b.core.Agents())))
+	m.Gauge("agents.list_revision").Update(b.list.revision)
+	m.Gauge("store.watching").Update(boolGauge(b.watching))
 	m.Gauge("config.version").Update(int64(b.core.Routes().Version()))
 	b.logReadiness(now, b.isReady(now))
 }
 
-// maxEntryReturnDelay is how long entries of agents may still be missing after the store's return: 2 s until the
-// agents have written them, and 1 s until they are read here.
-const maxEntryReturnDelay = 3 * time.Second
-
-// handleStoreReachable records that the store became reachable or unreachable.
-func (b *Balancer) handleStoreReachable(reachable bool) {
-	now := time.Now()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.storeDown = !reachable; b.storeDown {
-		b.storeLostAt = now
+// boolGauge returns the value of a gauge for a condition: 1 if it holds, and 0 if not.
+func boolGauge(condition bool) int64 {
+	if condition {
+		return 1
 	}
-	b.core.SetAgentListComplete(b.agentsComplete(now))
-}
-
-// agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
-// during an outage of the store, and until maxEntryReturnDelay after the start of the outage. b.mu must be held.
-func (b *Balancer) agentsComplete(now time.Time) bool {
-	return b.agentsListed && !b.storeDown && now.Sub(b.storeLostAt) > maxEntryReturnDelay
+	return 0
 }
 
 // Ready reports whether the balancer can serve traffic: it has a configuration, at least one agent answers, and Stop
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -9,12 +9,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
-	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/segment/dispatch"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
-	"agateramp/internal/segment/registry"
 )
 
 const (
@@ -22,12 +20,10 @@
 	// maxHelloRetryAgents is the most of them that are sent one in each round.
 	helloRetryInterval  = 50 * time.Millisecond
 	maxHelloRetryAgents = 32
-	// digestInterval is how often balancers exchange digests of what they know.
-	digestInterval = 400 * time.Millisecond
+	// pollPartInterval is the interval between two parts of a poll, if the agents are polled in parts.
+	pollPartInterval = 400 * time.Millisecond
 	// minCompareInterval is the least time between two reads of views because of different agent hashes.
 	minCompareInterval = 2 * time.Second
-	// balancerTTL is how long a balancer counts as known after its last digest or, before its first, after it was reported.
-	balancerTTL = 3 * time.Second
 )
 
 func (b *Balancer) handleMessage(now time.Time, from netip.Addr, data []byte) {
@@ -59,8 +55,11 @@
 		b.execute(now, b.core.HandleReturned(now, from, &s, m.Reason, m.Load))
 		b.wakeTimer()
 	case message.Digest:
-		b.balancers[from] = now
+		b.peers.HandleDigest(now, from, m)
 		b.requestNewerView(from, m.ConfigVersion)
+		if _, reachable := b.storeAge(now); !reachable && m.ListRevision > b.list.revision {
+			b.requestView(from)
+		}
 		if m.Agents != b.hashAgents(now) && now.After(b.nextCompareAt) {
 			b.nextCompareAt = now.Add(minCompareInterval)
 			b.requestView(from)
@@ -84,9 +83,7 @@
 			"state", m.State, "agent_stopping", m.Stopping)
 	}
 	for _, address := range m.Balancers {
-		if _, known := b.balancers[address]; !known && address != b.config.Address {
-			b.balancers[address] = now
-		}
+		b.peers.Add(now, address)
 	}
 	if m.ConfigHolder.IsValid() {
 		b.requestNewerView(m.ConfigHolder, m.ConfigVersion)
@@ -134,16 +131,17 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
+		case <-b.digestWake:
+			nextDigestAt = time.Time{}
 		}
 		now := time.Now()
 		if !now.Before(nextPollAt) {
 			nextPollAt = now.Add(b.pollNextAgents())
 		}
 		if now.After(nextDigestAt) {
-			nextDigestAt = now.Add(digestInterval)
-			b.sendDigests(now)
+			nextDigestAt = now.Add(b.sendDigests(now))
 		}
-		wait := nextPollAt.Sub(now)
+		wait := min(nextPollAt.Sub(now), nextDigestAt.Sub(now))
 		if b.pollAgentsWithoutStatus(now) {
 			wait = min(wait, helloRetryInterval)
 		}
@@ -158,7 +156,7 @@
 	agents := b.takeNextAgents(b.core.Agents(), interval)
 	b.mu.Unlock()
 	b.sendHellos(agents)
-	return min(interval, digestInterval)
+	return min(interval, pollPartInterval)
 }
 
 // pollAgentsWithoutStatus polls agents that have not answered yet. It reports whether there are any.
@@ -175,8 +173,9 @@
 	b.mu.Lock()
 	version := b.core.Routes().Version()
 	unlisted := make(map[netip.Addr]bool)
+	_, storeReachable := b.storeAge(time.Now())
 	for _, address := range agents {
-		unlisted[address] = b.agentsListed && !b.storeDown && !b.core.IsListed(address)
+		unlisted[address] = storeReachable && b.list.revision > 0 && !b.core.IsListed(address)
 	}
 	b.mu.Unlock()
 	for _, address := range agents {
@@ -185,12 +184,12 @@
 }
 
 // takeNextAgents returns the agents that are polled now. If the interval at which each agent is polled is longer than
-// digestInterval, the agents are polled in parts, so that each part takes one digestInterval. b.mu must be held.
+// pollPartInterval, the agents are polled in parts, so that each part takes one pollPartInterval. b.mu must be held.
 func (b *Balancer) takeNextAgents(agents []netip.Addr, interval time.Duration) []netip.Addr {
-	if interval <= digestInterval || len(agents) == 0 {
+	if interval <= pollPartInterval || len(agents) == 0 {
 		return agents
 	}
-	count := int(int64(len(agents)) * int64(digestInterval) / int64(interval))
+	count := int(int64(len(agents)) * int64(pollPartInterval) / int64(interval))
 	var part []netip.Addr
 	for range max(count, 1) {
 		b.nextAgent %= len(agents)
@@ -200,25 +199,26 @@
 	return part
 }
 
-// sendDigests sends a digest to the known balancers, or to the seeds if no other balancer is known.
-func (b *Balancer) sendDigests(now time.Time) {
+// sendDigests sends a digest to the known balancers, or to the seeds if no other balancer is known. It returns the time
+// until the next ones.
+func (b *Balancer) sendDigests(now time.Time) (wait time.Duration) {
 	b.mu.Lock()
-	var targets []netip.Addr
-	for address, lastSeen := range b.balancers {
-		if now.Sub(lastSeen) > balancerTTL {
-			delete(b.balancers, address)
-			continue
-		}
-		targets = append(targets, address)
-	}
+	b.peers.Expire(now)
+	targets := b.peers.Addresses()
 	if len(targets) == 0 {
 		targets = slices.DeleteFunc(slices.Clone(b.config.Seeds), func(a netip.Addr) bool { return a == b.config.Address })
 	}
-	digest := message.Digest{ConfigVersion: b.core.Routes().Version(), Agents: b.hashAgents(now)}
+	digest := message.Digest{
+		ConfigVersion: b.core.Routes().Version(), Agents: b.hashAgents(now), CPUPermille: b.config.CPUPermille,
+		ListRevision: b.list.revision, ListComplete: b.agentsComplete(now),
+	}
+	digest.StoreAge, digest.Watching = b.peers.StoreAge(now)
+	wait = b.peers.DigestInterval()
 	b.mu.Unlock()
 	for _, address := range targets {
 		b.sendMessage(address, digest)
 	}
+	return wait
 }
 
 func (b *Balancer) sendMessage(address netip.Addr, m message.Message) {
@@ -227,53 +227,21 @@
 	}
 }
 
-// handleConfigEntries applies the configuration that the store holds, if there is one.
-func (b *Balancer) handleConfigEntries(entries map[string]store.Entry) {
-	entry, ok := entries[b.config.ConfigKey]
-	if !ok {
-		return
-	}
-	b.applyConfig(entry.Value, "store")
-}
-
-// applyConfig puts a configuration in force if it is newer than the current one. The source is named in the log.
-func (b *Balancer) applyConfig(raw []byte, source string) {
+// applyConfig puts a configuration in force if it is newer than the current one, and reports whether it did. The source
+// is named in the log.
+func (b *Balancer) applyConfig(raw []byte, source string) (applied bool) {
 	set, err := b.config.DecodeConfig(raw)
 	if err != nil {
 		logging.Line(level.Error(b.config.Logger), "event", "config_unreadable", "source", source, "err", err)
-		return
+		return false
 	}
 	b.mu.Lock()
 	previous := b.core.Routes().Version()
-	applied := b.core.SetRoutes(set)
+	applied = b.core.SetRoutes(set)
 	b.mu.Unlock()
 	if applied {
 		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
 			"routes", set.Len(), "unreadable_routes", set.UnreadableRoutes(), "source", source)
 	}
-}
-
-// handleAgentEntries replaces the list of agents by the entries in the store and sends each agent a Hello. Entries
-// that cannot be decoded are logged and skipped.
-func (b *Balancer) handleAgentEntries(entries map[string]store.Entry) {
-	var addresses []netip.Addr
-	for key, entry := range entries {
-		e, err := registry.DecodeEntry(entry.Value)
-		if err != nil {
-			logging.Line(level.Warn(b.config.Logger), "event", "entry_unreadable", "key", key, "revision", entry.ModRevision, "err", err)
-			continue
-		}
-		addresses = append(addresses, e.Address)
-	}
-	slices.SortFunc(addresses, netip.Addr.Compare)
-	b.mu.Lock()
-	now := time.Now()
-	b.agentsListed = true
-	b.core.SetListedAgents(now, addresses)
-	b.core.SetAgentListComplete(b.agentsComplete(now))
-	b.mu.Unlock()
-	logging.Line(level.Info(b.config.Logger), "event", "agents_listed", "count", len(addresses))
-	for _, address := range addresses {
-		b.sendMessage(address, message.Hello{})
-	}
+	return applied
 }
--- a/internal/segment/balancer/view.go
+++ b/internal/segment/balancer/view.go
@@ -25,25 +25,28 @@
 	seedInterval = 500 * time.Millisecond
 )
 
-// viewService serves the view of a balancer to other balancers. A view is the balancer's configuration and the agents
-// and balancers that it knows.
+// viewService serves the view of a balancer to other balancers. A view is the balancer's configuration, its copy of the
+// store's list of agents, and the agents and balancers that it knows.
 type viewService struct{ balancer *Balancer }
 
 var _ datapathpb.ViewServiceHandler = viewService{}
 
-// GetView returns the agents that answer, the known balancers, and the configuration if it is newer than the one in
-// the request.
+// GetView returns the agents that answer, the known balancers, and the configuration and the store's list of agents if
+// they are newer than those in the request.
 func (v viewService) GetView(_ context.Context, r *connect.Request[datapathpb.GetViewRequest]) (*connect.Response[datapathpb.GetViewResponse], error) {
 	b := v.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	routes := b.core.Routes()
-	view := &datapathpb.GetViewResponse{ConfigVersion: routes.Version(), Agents: message.EncodeAddresses(b.core.AnsweringAgents(time.Now()))}
+	view := &datapathpb.GetViewResponse{
+		ConfigVersion: routes.Version(), Agents: message.EncodeAddresses(b.core.AnsweringAgents(time.Now())),
+		Balancers: message.EncodeAddresses(b.peers.Addresses()), ListRevision: uint64(b.list.revision),
+	}
 	if routes.Version() > r.Msg.GetConfigVersion() {
 		view.Config = routes.Raw()
 	}
-	for address := range b.balancers {
-		view.Balancers = append(view.Balancers, address.AsSlice())
+	if view.ListRevision > r.Msg.GetListRevision() {
+		view.ListedAgents = encodeList(b.list)
 	}
 	return connect.NewResponse(view), nil
 }
@@ -125,11 +128,11 @@
 // readView reads the view of one balancer and merges it into this balancer's knowledge.
 func (b *Balancer) readView(ctx context.Context, client *http.Client, target netip.Addr) {
 	b.mu.Lock()
-	version := b.core.Routes().Version()
+	version, listRevision := b.core.Routes().Version(), uint64(b.list.revision)
 	b.mu.Unlock()
 	baseURL := "http://" + netip.AddrPortFrom(target, b.config.PeerPort).String()
 	response, err := datapathpb.NewViewServiceClient(client, baseURL).GetView(ctx,
-		connect.NewRequest(&datapathpb.GetViewRequest{ConfigVersion: version}))
+		connect.NewRequest(&datapathpb.GetViewRequest{ConfigVersion: version, ListRevision: listRevision}))
 	if err != nil {
 		b.decisions.Log(time.Now(), "view_not_read", "", "balancer", target, "err", err)
 		return
@@ -138,15 +141,34 @@
 	if len(view.GetConfig()) > 0 {
 		b.applyConfig(view.GetConfig(), target.String())
 	}
+	if view.GetListRevision() > listRevision {
+		b.applyList(decodeList(view), target.String())
+	}
 	now := time.Now()
 	agents := message.DecodeAddresses(view.GetAgents())
 	b.mu.Lock()
 	b.core.AddAgents(now, agents)
 	for _, address := range message.DecodeAddresses(view.GetBalancers()) {
-		if _, known := b.balancers[address]; !known && address != b.config.Address {
-			b.balancers[address] = now
-		}
+		b.peers.Add(now, address)
 	}
 	b.mu.Unlock()
 	logging.Line(level.Debug(b.config.Logger), "event", "view_read", "balancer", target, "config_version", view.GetConfigVersion(), "agents", len(agents))
 }
+
+func encodeList(list agentList) (agents []*datapathpb.ListedAgent) {
+	for _, a := range list.agents {
+		agents = append(agents, &datapathpb.ListedAgent{Address: a.address.AsSlice(), Revision: uint64(a.revision)})
+	}
+	return agents
+}
+
+// decodeList returns the list of agents in a view. It skips agents without a valid address.
+func decodeList(view *datapathpb.GetViewResponse) (list agentList) {
+	list.revision = int64(view.GetListRevision())
+	for _, a := range view.GetListedAgents() {
+		if address, ok := netip.AddrFromSlice(a.GetAddress()); ok {
+			list.agents = append(list.agents, listedAgent{address: address, revision: int64(a.GetRevision())})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/segment/balancer/watch.go
@@ -0,0 +1,225 @@
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"agateramp/internal/keyvalue/store"
+	"agateramp/internal/process/group"
+	"agateramp/internal/process/logging"
+	"agateramp/internal/segment/message"
+	"agateramp/internal/segment/registry"
+)
+
+const (
+	// configBatchInterval and agentsBatchInterval are the least times between two reads of changes from the store, so
+	// that changes close together are applied at once.
+	configBatchInterval = 150 * time.Millisecond
+	agentsBatchInterval = 200 * time.Millisecond
+	// watchCheckInterval is how often a balancer checks whether it has to watch the store.
+	watchCheckInterval = 200 * time.Millisecond
+	// entryReturnDelay is how long after the store's return its list of agents may lack agents that run. An agent that
+	// no balancer asks for its status sends it to all that it knows every 500 ms; this is the time for two of them.
+	entryReturnDelay = 1200 * time.Millisecond
+)
+
+// listedAgent is an agent in the store's list, with the revision of the last change of its entry.
+type listedAgent struct {
+	address  netip.Addr
+	revision int64
+}
+
+// agentList is a copy of the store's list of agents.
+type agentList struct {
+	// agents are sorted by address. They are nil before the first read.
+	agents []listedAgent
+	// revision is the revision of the store that the list is of, and 0 before the first read.
+	revision int64
+}
+
+// addresses returns the addresses of the agents.
+func (l agentList) addresses() (addresses []netip.Addr) {
+	for _, a := range l.agents {
+		addresses = append(addresses, a.address)
+	}
+	return addresses
+}
+
+// revisions returns the revision of the entry of each agent.
+func (l agentList) revisions() (revisions map[netip.Addr]int64) {
+	revisions = make(map[netip.Addr]int64, len(l.agents))
+	for _, a := range l.agents {
+		revisions[a.address] = max(revisions[a.address], a.revision)
+	}
+	return revisions
+}
+
+// watchStore watches the store until ctx ends, whenever it is the turn of this balancer.
+func (b *Balancer) watchStore(ctx context.Context) (err error) {
+	ticker := time.NewTicker(watchCheckInterval)
+	defer ticker.Stop()
+	var mirrors *group.Group
+	for {
+		switch should := b.updateWatching(); {
+		case should && mirrors == nil:
+			if mirrors, err = b.startMirrors(ctx); err != nil {
+				return err
+			}
+		case !should && mirrors != nil:
+			mirrors.Stop()
+			if err = mirrors.Wait(); err != nil {
+				return err
+			}
+			mirrors = nil
+		}
+		select {
+		case <-ticker.C:
+			continue
+		case <-ctx.Done():
+		}
+		if mirrors == nil {
+			return nil
+		}
+		return mirrors.Wait()
+	}
+}
+
+// startMirrors begins to copy the configuration and the list of agents from the store.
+func (b *Balancer) startMirrors(ctx context.Context) (mirrors *group.Group, err error) {
+	retries := registry.NewRetryBudget()
+	configMirror, err := registry.NewMirror(registry.MirrorConfig{
+		Store: b.config.Store, Prefix: b.config.ConfigKey, BatchInterval: configBatchInterval, OnChange: b.handleConfigEntries, OnReachable: b.handleStoreReachable, RetryBudget: retries, Logger: b.config.Logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	agentsMirror, err := registry.NewMirror(registry.MirrorConfig{
+		Store: b.config.Store, Prefix: registry.KeyPrefix, BatchInterval: agentsBatchInterval, OnChange: b.handleAgentEntries, RetryBudget: retries, Logger: b.config.Logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	mirrors = group.New(ctx)
+	mirrors.Go("mirror configuration", configMirror.Run)
+	mirrors.Go("mirror agents", agentsMirror.Run)
+	return mirrors, nil
+}
+
+// updateWatching decides whether this balancer watches the store and records it.
+func (b *Balancer) updateWatching() (watching bool) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	watching = b.peers.ShouldWatch(now)
+	if watching != b.watching {
+		b.watching, b.storeDown, b.storeReturnedAt = watching, false, time.Time{}
+		b.peers.SetWatching(watching)
+		logging.Line(level.Info(b.config.Logger), "event", "store_watch_changed", "self", b.config.Address, "watching", watching,
+			"balancers_known", len(b.peers.Addresses()), "list_revision", b.list.revision, "config_version", b.core.Routes().Version())
+	}
+	return watching
+}
+
+// handleStoreReachable records a response of the store, or a failed call.
+func (b *Balancer) handleStoreReachable(reachable bool) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if reachable && b.storeDown {
+		b.storeReturnedAt = now
+	}
+	b.storeDown = !reachable
+	b.peers.RecordStore(now, reachable)
+	b.core.SetAgentListComplete(b.agentsComplete(now))
+}
+
+// agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
+// during an outage of the store, and until entryReturnDelay after it. A balancer that does not watch the store relies on
+// the watchers. b.mu must be held.
+func (b *Balancer) agentsComplete(now time.Time) bool {
+	switch {
+	case b.list.revision == 0:
+		return false
+	case !b.watching:
+		return b.peers.ListIsComplete(now, b.list.revision)
+	}
+	_, reachable := b.storeAge(now)
+	return reachable && now.Sub(b.storeReturnedAt) > entryReturnDelay
+}
+
+// storeAge returns the time since the last response of the store, and whether this balancer watches the store and
+// reaches it. b.mu must be held.
+func (b *Balancer) storeAge(now time.Time) (age time.Duration, reachable bool) {
+	age, watching := b.peers.StoreAge(now)
+	return age, watching && age < message.UnknownAge
+}
+
+// handleConfigEntries applies the configuration that the store holds, if there is one.
+func (b *Balancer) handleConfigEntries(entries map[string]store.Entry, _ int64) {
+	entry, ok := entries[b.config.ConfigKey]
+	if !ok {
+		return
+	}
+	if b.applyConfig(entry.Value, "store") {
+		b.wakeDigest()
+	}
+}
+
+// handleAgentEntries applies the list of agents that the store holds. Entries that cannot be decoded are logged and
+// skipped.
+func (b *Balancer) handleAgentEntries(entries map[string]store.Entry, revision int64) {
+	list := agentList{revision: revision}
+	for key, entry := range entries {
+		e, err := registry.DecodeEntry(entry.Value)
+		if err != nil {
+			logging.Line(level.Warn(b.config.Logger), "event", "entry_unreadable", "key", key, "revision", entry.ModRevision, "err", err)
+			continue
+		}
+		list.agents = append(list.agents, listedAgent{address: e.Address, revision: entry.ModRevision})
+	}
+	slices.SortFunc(list.agents, func(a, b listedAgent) int { return a.address.Compare(b.address) })
+	b.applyList(list, "store")
+	b.wakeDigest()
+}
+
+// wakeDigest makes exchangeStatus send digests at once.
+func (b *Balancer) wakeDigest() {
+	select {
+	case b.digestWake <- struct{}{}:
+	default:
+	}
+}
+
+// applyList replaces the list of agents unless the current one is of a later revision of the store. It sends a Hello to
+// the agents whose entries are new: they have started. The source is named in the log.
+func (b *Balancer) applyList(list agentList, source string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if list.revision < b.list.revision {
+		b.decisions.Log(now, "agents_list_outdated", "", "source", source, "revision", list.revision, "current", b.list.revision)
+		return
+	}
+	known, listed := b.list.revisions(), list.revisions()
+	b.list = list
+	b.core.SetListedAgents(now, list.addresses())
+	b.core.SetAgentListComplete(b.agentsComplete(now))
+	logging.Line(level.Info(b.config.Logger), "event", "agents_listed", "count", len(listed), "revision", list.revision, "source", source)
+	for address, revision := range listed {
+		if revision > known[address] {
+			b.sendMessage(address, message.Hello{})
+		}
+	}
+	if !b.watching {
+		return
+	}
+	for _, address := range b.core.AnsweringAgents(now) {
+		if _, wasListed := known[address]; wasListed && listed[address] == 0 {
+			b.sendMessage(address, message.Hello{Unlisted: true})
+		}
+	}
+}
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -36,7 +36,7 @@
 	Load                      packet.Load
 	// ColdRemaining is how much longer the host is slow after its start.
 	ColdRemaining time.Duration
-	// Balancers are the balancers that sent a Hello to the agent recently.
+	// Balancers are some of the balancers that sent a Hello to the agent recently.
 	Balancers []netip.Addr
 	// ConfigVersion is the newest configuration version that the agent has received in a Hello, and ConfigHolder
 	// a balancer that has that configuration. Before the first Hello, ConfigHolder is the zero Addr.
@@ -79,8 +79,21 @@
 	ConfigVersion uint64
 	// Agents is a hash of the addresses of the agents that answer the sender.
 	Agents uint64
+	// ListRevision is the revision of the sender's copy of the store's list of agents; 0 means that it has none.
+	// ListComplete is set while that list holds every agent that can be reached.
+	ListRevision int64
+	ListComplete bool
+	// Watching is set while the sender watches the store itself. StoreAge is then the time since the last response of
+	// the store, or UnknownAge.
+	Watching bool
+	StoreAge time.Duration
+	// CPUPermille is the share of a processor core that the sender may use, in thousandths.
+	CPUPermille int
 }
 
+// UnknownAge is the age of data from a source that does not respond.
+const UnknownAge = time.Hour
+
 func (Hello) message()    {}
 func (Status) message()   {}
 func (Accepted) message() {}
@@ -115,7 +128,7 @@
 			Held: encodeFlows(m.Held), Denied: encodeFlows(m.Denied), Unsure: encodeFlows(m.Unsure), Load: encodeLoad(m.Load),
 		}}
 	case Digest:
-		pb.Body = &datapathpb.Message_Digest{Digest: &datapathpb.Digest{ConfigVersion: m.ConfigVersion, Agents: m.Agents}}
+		pb.Body = &datapathpb.Message_Digest{Digest: encodeDigest(m)}
 	}
 	return proto.Marshal(pb)
 }
@@ -146,7 +159,7 @@
 			Held: decodeFlows(l.GetHeld()), Denied: decodeFlows(l.GetDenied()), Unsure: decodeFlows(l.GetUnsure()), Load: decodeLoad(l.GetLoad()),
 		}, nil
 	case *datapathpb.Message_Digest:
-		return Digest{ConfigVersion: body.Digest.GetConfigVersion(), Agents: body.Digest.GetAgents()}, nil
+		return decodeDigest(body.Digest), nil
 	}
 	return nil, errUnknownKind
 }
@@ -176,6 +189,20 @@
 	}, nil
 }
 
+func encodeDigest(m Digest) *datapathpb.Digest {
+	return &datapathpb.Digest{
+		ConfigVersion: m.ConfigVersion, Agents: m.Agents, ListRevision: uint64(m.ListRevision), ListComplete: m.ListComplete,
+		Watching: m.Watching, StoreAgeMs: uint32(min(m.StoreAge, UnknownAge).Milliseconds()), CpuPermille: uint32(m.CPUPermille),
+	}
+}
+
+func decodeDigest(pb *datapathpb.Digest) Digest {
+	return Digest{
+		ConfigVersion: pb.GetConfigVersion(), Agents: pb.GetAgents(), ListRevision: int64(pb.GetListRevision()), ListComplete: pb.GetListComplete(),
+		Watching: pb.GetWatching(), StoreAge: time.Duration(pb.GetStoreAgeMs()) * time.Millisecond, CPUPermille: int(pb.GetCpuPermille()),
+	}
+}
+
 func encodeLoad(l packet.Load) *datapathpb.Load {
 	return &datapathpb.Load{
 		Slots: uint32(l.Slots), Busy: uint32(l.OutstandingRequests), Flows: uint32(l.OpenFlows),
--- a/internal/segment/message/message_test.go
+++ b/internal/segment/message/message_test.go
@@ -25,6 +25,8 @@
 		Accepted{Flow: key, Sequence: 0xfffffffe, Handshake: true, Load: load},
 		Returned{Reason: packet.ReturnBusy, Packet: []byte{1, 2, 3}, Load: load},
 		Digest{ConfigVersion: 3, Agents: 1 << 63},
+		Digest{ListRevision: 1 << 40, ListComplete: true, Watching: true, StoreAge: 250 * time.Millisecond, CPUPermille: 88},
+		Digest{Watching: true, StoreAge: UnknownAge},
 		Lookup{Flows: []flow.Key{key, other}},
 		Located{Held: []flow.Key{key}, Denied: []flow.Key{other, key}, Unsure: []flow.Key{other}, Load: load},
 	}
--- a/internal/segment/registry/mirror.go
+++ b/internal/segment/registry/mirror.go
@@ -32,6 +32,10 @@
 	retryBurst = 3
 )
 
+// firstListTimeouts limit the first attempts of a full read. A call that the store received while it did not respond
+// gets no response after its return either, so the first calls are repeated soon.
+var firstListTimeouts = [...]time.Duration{350 * time.Millisecond, 600 * time.Millisecond}
+
 // NewRetryBudget returns the retry budget that all mirrors and registrars of a process share.
 func NewRetryBudget() *backoff.Budget { return backoff.NewBudget(retriesPerSecond, retryBurst) }
 
@@ -52,11 +56,11 @@
 	// BatchInterval is the least time between two reads of changes, so that changes close together are read in one
 	// batch. If zero, changes are read as they come.
 	BatchInterval time.Duration
-	// OnChange is called with all entries by key after each full read and each batch of changes. Run waits for its
-	// return. The map is a copy that OnChange may keep. Must be set.
-	OnChange func(entries map[string]store.Entry)
-	// OnReachable is called with whether the store answers: after the first read, successful or not, and whenever
-	// that changes. If nil, it is not called.
+	// OnChange is called with all entries by key after each full read and each batch of changes, and with the revision
+	// of the store that they are of. Run waits for its return. The map is a copy that OnChange may keep. Must be set.
+	OnChange func(entries map[string]store.Entry, revision int64)
+	// OnReachable is called after each response of the store with true, and after each failed call with false. If nil,
+	// it is not called.
 	OnReachable func(reachable bool)
 	// RetryBudget limits the retries of the whole process. Must be set.
 	RetryBudget *backoff.Budget
@@ -68,6 +72,8 @@
 type Mirror struct {
 	config  MirrorConfig
 	entries map[string]store.Entry
+	// revision is the revision of the last full read or of the last change.
+	revision int64
 	// storeLost is set while the store does not answer; stateReported is set once its state was first reported.
 	storeLost     bool
 	stateReported bool
@@ -84,7 +90,7 @@
 // Run keeps the copy up to date until ctx ends, and then returns nil. It retries all errors of the store.
 func (m *Mirror) Run(ctx context.Context) (err error) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		revision, err := m.list(ctx)
+		revision, err := m.list(ctx, attempt)
 		if err == nil {
 			attempt = 0
 			err = m.watch(ctx, revision)
@@ -106,7 +112,12 @@
 }
 
 // list replaces the copy by a full read and returns the revision of the store at that read.
-func (m *Mirror) list(ctx context.Context) (revision int64, err error) {
+func (m *Mirror) list(ctx context.Context, attempt int) (revision int64, err error) {
+	if attempt < len(firstListTimeouts) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, firstListTimeouts[attempt])
+		defer cancel()
+	}
 	entries, revision, err := m.config.Store.List(ctx, m.config.Prefix)
 	if err != nil {
 		return 0, err
@@ -115,8 +126,9 @@
 	for _, e := range entries {
 		m.entries[e.Key] = e
 	}
+	m.revision = revision
 	m.reportState(nil)
-	m.config.OnChange(maps.Clone(m.entries))
+	m.config.OnChange(maps.Clone(m.entries), m.revision)
 	return revision, nil
 }
 
@@ -149,7 +161,7 @@
 			continue
 		}
 		m.apply(batch.Events)
-		m.config.OnChange(maps.Clone(m.entries))
+		m.config.OnChange(maps.Clone(m.entries), m.revision)
 		if err = sleep(ctx, m.config.BatchInterval); err != nil {
 			return err
 		}
@@ -158,6 +170,7 @@
 
 func (m *Mirror) apply(events []store.Event) {
 	for _, e := range events {
+		m.revision = max(m.revision, e.Entry.ModRevision)
 		if e.Deleted {
 			delete(m.entries, e.Entry.Key)
 			continue
@@ -166,17 +179,17 @@
 	}
 }
 
-// reportState logs and reports whether the store answers, if that has changed. If err is nil, the store answers; any
+// reportState reports whether the store answers, and logs it if that has changed. If err is nil, the store answers; any
 // other err, also of compacted history, counts as no answer.
 func (m *Mirror) reportState(err error) {
 	lost := err != nil
+	if m.config.OnReachable != nil {
+		m.config.OnReachable(!lost)
+	}
 	if lost == m.storeLost && m.stateReported {
 		return
 	}
 	m.storeLost, m.stateReported = lost, true
-	if m.config.OnReachable != nil {
-		m.config.OnReachable(!lost)
-	}
 	if lost {
 		logging.Line(level.Warn(m.config.Logger), "event", "store_lost", "prefix", m.config.Prefix, "err", err)
 		return
--- a/internal/segment/registry/retry_budget_test.go
+++ b/internal/segment/registry/retry_budget_test.go
@@ -68,7 +68,7 @@
 				for range mirrors {
 					m, err := NewMirror(MirrorConfig{
 						Store: s, Prefix: "x/", RetryBudget: retryBudget, Logger: log.NewNopLogger(),
-						OnChange: func(map[string]store.Entry) {},
+						OnChange: func(map[string]store.Entry, int64) {},
 					})
 					is.NoErr(err)
 					tasks.Go("follower", m.Run)
