dispatch: Queue a first packet while hosts were not asked

Cause: after a loss of power the hosts that are still cold refuse first packets.

If all hosts have refused it, it is reset at once as before.

Measured: TestUntriedHostsAreAskedLater failed before (reset, reason refused) and passes.

--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -33,21 +33,23 @@
 	nextReleaseAt time.Time
 }
 
-// shouldQueue reports whether a first packet should wait because all hosts of its
-// service that accept flows are full, or because no host accepts flows yet.
+// shouldQueue reports whether a first packet should wait because the hosts of its
+// service that accept flows are full or were not all asked, or because no host accepts
+// flows yet.
 func (d *Dispatcher) shouldQueue(now time.Time, e *flowEntry) bool {
 	if len(d.queue.waiting) >= maxQueuedFlows {
 		return false
 	}
 	age := now.Sub(e.firstSentAt)
-	anyFull, anyEligible := false, false
+	anyEligible, anyLeft := false, false
 	for _, a := range d.serviceAgents(e.serviceTag) {
-		eligible := d.eligible(now, a)
-		anyEligible = anyEligible || eligible
-		anyFull = anyFull || eligible && a.isFull(now, e.late)
+		if d.eligible(now, a) {
+			anyEligible = true
+			anyLeft = anyLeft || a.isFull(now, e.late) || !e.wasTried(a)
+		}
 	}
 	if anyEligible {
-		return age < maxQueueTime && (anyFull || len(e.triedAgents) == 0)
+		return age < maxQueueTime && anyLeft
 	}
 	return age < maxNoHostTime && len(e.triedAgents) == 0
 }
--- a/internal/segment/dispatch/queue_test.go
+++ b/internal/segment/dispatch/queue_test.go
@@ -103,6 +103,40 @@
 	b.is.Equal(len(b.queue.waiting), 2)
 }
 
+// Guards against flows that are reset after a few hosts have refused them although
+// others were not asked: right after a loss of power the hosts that are still cold
+// refuse, and the others have room.
+func TestUntriedHostsAreAskedLater(t *testing.T) {
+	b := newTestBalancer(t)
+	for i := range maxOffers + 2 {
+		b.reportStatus(host(i), "studio", packet.HostReady)
+	}
+	s := firstPacket(1000, studioAddr, 0)
+	refused := make(map[netip.Addr]bool)
+	decisions := b.HandlePacket(b.now, s)
+	for range maxOffers {
+		agent := b.onlyForward(decisions).Agent
+		refused[agent] = true
+		decisions = b.HandleReturned(b.now, agent, s, packet.ReturnRefused, packet.Load{})
+	}
+	b.is.Equal(decisions, []Decision{Drop{Flow: s.KeyFromCaller(), Reason: ReasonQueued}})
+	b.advance(fullBackoff)
+	decisions = b.Tick(b.now)
+	for !b.now.After(startTime.Add(maxQueueTime)) {
+		f := b.onlyForward(decisions)
+		if !refused[f.Agent] {
+			return // a host that has not refused the flow gets it
+		}
+		if decisions = b.HandleReturned(b.now, f.Agent, s, packet.ReturnRefused, packet.Load{}); len(decisions) == 1 {
+			if _, queued := decisions[0].(Drop); queued {
+				b.advance(fullBackoff)
+				decisions = b.Tick(b.now)
+			}
+		}
+	}
+	t.Fatal("no other host was asked")
+}
+
 // Guards against flows that are reset, or that all become late, when every host is
 // full for a moment, and against first packets that are queued without a time limit.
 func TestQueueAndRelease(t *testing.T) {
