dispatch, relay: Tell flows apart that use a port one after the other

Cause: a caller may use a port again while its earlier flow is still in the table of an agent or a balancer. A balancer that searched for the new flow was answered by the agent of the earlier one, and a balancer that remembered the earlier flow sent the new one's packets to its host; that host does not hold the new flow, so that a living flow was reset.

Change: lookups carry the acknowledgement of the caller's packet; an agent denies a flow whose acknowledgement is far from what its host has sent, and a balancer searches again for the host when a packet's acknowledgement is far from the last one of the flow.

--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -60,8 +60,8 @@
 // answerLookup returns the answer to a Lookup. a.mu must be held.
 func (a *Agent) answerLookup(now time.Time, from netip.Addr, m message.Lookup) (l message.Located) {
 	a.config.Metrics.Counter("lookups.answered").Inc(1)
-	for _, key := range m.Flows {
-		switch a.core.Locate(from, key) {
+	for i, key := range m.Flows {
+		switch a.core.Locate(from, key, m.Acknowledgement(i)) {
 		case relay.HoldingYes:
 			l.Held = append(l.Held, key)
 			a.decisions.Log(now, "flow_located", "", "flow", packet.FlowName(key), "balancer", from, "host", a.core.HostID())
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -217,7 +217,7 @@
 			b.decisions.Log(now, "flow_search", "", "flow", packet.FlowName(d.Flow), "agents", d.Agents, "config_version", b.core.Routes().Version())
 		case dispatch.Lookup:
 			b.config.Metrics.Counter("lookups.sent").Inc(1)
-			b.sendMessage(d.Agent, message.Lookup{Flows: d.Flows})
+			b.sendMessage(d.Agent, message.Lookup{Flows: d.Flows, Acknowledgements: d.Acknowledgements})
 		case dispatch.Drop:
 			b.config.Metrics.Counter("packets.dropped." + string(d.Reason)).Inc(1)
 			b.decisions.Log(now, "packet_dropped", string(d.Reason), "flow", packet.FlowName(d.Flow), "config_version", b.core.Routes().Version())
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -60,6 +60,7 @@
 		if _, reachable := b.storeAge(now); !reachable && m.ListRevision > b.list.revision {
 			b.requestView(from)
 		}
+		b.core.SetAgentListComplete(b.agentsComplete(now))
 		if m.Agents != b.hashAgents(now) && now.After(b.nextCompareAt) {
 			b.nextCompareAt = now.Add(minCompareInterval)
 			b.requestView(from)
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -114,6 +114,9 @@
 type Lookup struct {
 	Agent netip.Addr
 	Flows []flow.Key
+	// Acknowledgements holds for each of Flows the acknowledgement of its caller's last
+	// packet, or 0 if none is known.
+	Acknowledgements []uint32
 }
 
 func (Forward) decision() {}
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -250,6 +250,12 @@
 func (d *Dispatcher) handleLaterPacket(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
 	switch e.phase {
 	case phaseEstablished:
+		if e.isOtherFlow(s) {
+			return d.startSearch(now, e, s)
+		}
+		if s.Flags.Has(packet.ACK) {
+			e.acknowledgement = s.Acknowledgement
+		}
 		return d.forward(e, e.owner, StepOwner, s.Data)
 	case phaseOpening, phaseQueued:
 		if owner, ok := e.matchAnswer(s.Acknowledgement); ok {
@@ -277,6 +283,13 @@
 	return nil
 }
 
+// isOtherFlow reports whether a packet belongs to a later flow with the same key as the
+// entry. Callers use a port again, and the first packet of that flow may have gone
+// through another balancer.
+func (e *flowEntry) isOtherFlow(s *packet.Segment) bool {
+	return e.acknowledgement != 0 && s.Flags.Has(packet.ACK) && !packet.SameSpace(e.acknowledgement, s.Acknowledgement)
+}
+
 // matchAnswer returns the host whose answer to the first packet has the sequence
 // number that a packet of the caller acknowledges.
 func (e *flowEntry) matchAnswer(acknowledgement uint32) (owner netip.Addr, ok bool) {
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -80,8 +80,8 @@
 	onlyCandidate *agent
 	// buffered are copies of the packets that arrived during a search.
 	buffered [][]byte
-	// acknowledgement is the caller's last acknowledgement, which a reset needs as its
-	// sequence number.
+	// acknowledgement is the caller's last acknowledgement, or 0 if none is known. A reset
+	// needs it as its sequence number.
 	acknowledgement uint32
 	// firstPacket is a copy of the first packet, kept until a host answers it.
 	firstPacket []byte
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -14,8 +14,8 @@
 	// searches begin in between share the datagrams of the next round.
 	lookupInterval = 10 * time.Millisecond
 	// maxLookupFlows bounds the flows in one lookup, which is sent as one datagram. A
-	// flow takes 20 bytes.
-	maxLookupFlows = 60
+	// flow takes 24 bytes.
+	maxLookupFlows = 50
 	// probePackets is how many packets a probe sends. It takes two because hosts
 	// acknowledge every second packet.
 	probePackets = 2
@@ -45,6 +45,7 @@
 // startSearch begins a search for the host that holds a flow and buffers the packet.
 func (d *Dispatcher) startSearch(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
 	e.phase, e.scope, e.acknowledgement = phaseSearching, scopeRoute, s.Acknowledgement
+	e.owner = netip.Addr{}
 	e.triedAgents, e.returnedOffers, e.unsureAgents, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil
 	d.flows.bufferPacket(e, s.Data)
 	return d.queueLookup(now, e)
@@ -71,7 +72,7 @@
 		return nil
 	}
 	d.lookups.nextAt = now.Add(lookupInterval)
-	flowsByAgent := make(map[*agent][]flow.Key)
+	flowsByAgent := make(map[*agent][]*flowEntry)
 	for _, e := range waiting {
 		if e.phase != phaseSearching || e.probing || d.flows.byKey[e.key] != e {
 			continue
@@ -86,7 +87,7 @@
 			continue
 		}
 		for _, a := range agents {
-			flowsByAgent[a] = append(flowsByAgent[a], e.key)
+			flowsByAgent[a] = append(flowsByAgent[a], e)
 		}
 		// A silent agent is asked, but its reply is not awaited. If all agents are silent,
 		// the round ends at its deadline.
@@ -95,8 +96,12 @@
 		decisions = append(decisions, Search{Flow: e.key, Agents: len(agents)})
 	}
 	for _, a := range d.agentList {
-		for keys := range slices.Chunk(flowsByAgent[a], maxLookupFlows) {
-			decisions = append(decisions, Lookup{Agent: a.address, Flows: keys})
+		for entries := range slices.Chunk(flowsByAgent[a], maxLookupFlows) {
+			l := Lookup{Agent: a.address}
+			for _, e := range entries {
+				l.Flows, l.Acknowledgements = append(l.Flows, e.key), append(l.Acknowledgements, e.acknowledgement)
+			}
+			decisions = append(decisions, l)
 		}
 	}
 	return decisions
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -288,3 +288,33 @@
 	is.Equal(len(b.HandleLocated(b.now, host(77), nil, keys, keys, packet.Load{})), 0)
 	is.Equal(b.onlyForward(b.HandlePacket(b.now, segment(packet.ACK, 200, 6000))).Agent, owner)
 }
+
+// Guards against packets of a flow that go to the host of an earlier flow from the same
+// port, whose entry this balancer still has: the first packet of the new flow went
+// through another balancer. The earlier host would have the new flow reset.
+func TestReusedPortAtAnotherBalancer(t *testing.T) {
+	b := newTestBalancer(t)
+	earlier := b.openFlow()
+	key := segment(0, 0, 0).KeyFromCaller()
+	b.is.Equal(b.onlyForward(b.HandlePacket(b.now, segment(packet.ACK, 300, 7000))).Agent, earlier) // the flow goes on
+	b.is.Equal(b.onlyForward(b.HandlePacket(b.now, segment(packet.RST, 300, 0))).Agent, earlier)    // a reset acknowledges nothing
+
+	s := segment(packet.ACK, 1_000_001, 2_000_000_001)
+	decisions := b.HandlePacket(b.now, s)
+	b.is.Equal(len(lookupAgents(decisions, key)), 3)
+	for _, d := range decisions {
+		if l, ok := d.(Lookup); ok {
+			b.is.Equal(l.Acknowledgements, []uint32{2_000_000_001})
+		}
+	}
+	var other netip.Addr
+	for i := range 3 {
+		if host(i) != earlier {
+			other = host(i)
+		}
+	}
+	b.replyDenied(earlier, key)
+	decisions = b.HandleLocated(b.now, other, []flow.Key{key}, nil, nil, packet.Load{})
+	b.is.Equal(b.onlyForward(decisions).Agent, other)
+	b.is.Equal(b.onlyForward(b.HandlePacket(b.now, segment(packet.ACK, 1_000_301, 2_000_001_000))).Agent, other)
+}
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -64,7 +64,20 @@
 }
 
 // Lookup is the request of a balancer to an agent to say which of the given flows its host holds.
-type Lookup struct{ Flows []flow.Key }
+type Lookup struct {
+	Flows []flow.Key
+	// Acknowledgements holds for each of Flows the acknowledgement of a packet of its caller, or 0 if none is known. If
+	// it is shorter than Flows, the others are not known.
+	Acknowledgements []uint32
+}
+
+// Acknowledgement returns the acknowledgement of the flow with the given index, or 0 if it is not known.
+func (l Lookup) Acknowledgement(i int) uint32 {
+	if i >= len(l.Acknowledgements) {
+		return 0
+	}
+	return l.Acknowledgements[i]
+}
 
 // Located is an agent's answer to a Lookup. Each flow of the Lookup is in one of the lists.
 type Located struct {
@@ -122,7 +135,7 @@
 			Reason: datapathpb.Reason(m.Reason), Packet: m.Packet, Load: encodeLoad(m.Load),
 		}}
 	case Lookup:
-		pb.Body = &datapathpb.Message_Lookup{Lookup: &datapathpb.Lookup{Flows: encodeFlows(m.Flows)}}
+		pb.Body = &datapathpb.Message_Lookup{Lookup: &datapathpb.Lookup{Flows: encodeFlows(m.Flows), Acknowledgements: m.Acknowledgements}}
 	case Located:
 		pb.Body = &datapathpb.Message_Located{Located: &datapathpb.Located{
 			Held: encodeFlows(m.Held), Denied: encodeFlows(m.Denied), Unsure: encodeFlows(m.Unsure), Load: encodeLoad(m.Load),
@@ -152,7 +165,7 @@
 		r := body.Returned
 		return Returned{Reason: packet.ReturnReason(r.GetReason()), Packet: r.GetPacket(), Load: decodeLoad(r.GetLoad())}, nil
 	case *datapathpb.Message_Lookup:
-		return Lookup{Flows: decodeFlows(body.Lookup.GetFlows())}, nil
+		return Lookup{Flows: decodeFlows(body.Lookup.GetFlows()), Acknowledgements: body.Lookup.GetAcknowledgements()}, nil
 	case *datapathpb.Message_Located:
 		l := body.Located
 		return Located{
--- a/internal/segment/message/message_test.go
+++ b/internal/segment/message/message_test.go
@@ -28,6 +28,7 @@
 		Digest{ListRevision: 1 << 40, ListComplete: true, Watching: true, StoreAge: 250 * time.Millisecond, CPUPermille: 88},
 		Digest{Watching: true, StoreAge: UnknownAge},
 		Lookup{Flows: []flow.Key{key, other}},
+		Lookup{Flows: []flow.Key{key, other}, Acknowledgements: []uint32{0, 1 << 31}},
 		Located{Held: []flow.Key{key}, Denied: []flow.Key{other, key}, Unsure: []flow.Key{other}, Load: load},
 	}
 }
--- a/internal/segment/packet/packet.go
+++ b/internal/segment/packet/packet.go
@@ -65,6 +65,19 @@
 	return flow.NewKey(protocolTCP, caller, service)
 }
 
+// maxSequenceDistance bounds how far apart two sequence numbers of one end of a flow may
+// be if neither is old: far more than an end has in flight, and little of the space of
+// initial sequence numbers.
+const maxSequenceDistance = 1 << 20
+
+// SameSpace reports whether two sequence numbers can be of the same end of the same
+// flow. Flows that use the same addresses and ports one after the other have unrelated
+// initial sequence numbers.
+func SameSpace(a, b uint32) bool {
+	distance := int32(a - b)
+	return distance > -maxSequenceDistance && distance < maxSequenceDistance
+}
+
 // Label is the metadata that a balancer adds to a packet for the receiving agent.
 type Label struct {
 	// ServiceTag is the tag of the service that the packet is for, as returned by the
--- a/internal/segment/peers/peers.go
+++ b/internal/segment/peers/peers.go
@@ -41,6 +41,9 @@
 	// It covers the wait of a watch for a change, 1 s, a slow response and the age of a
 	// digest. A configuration has to be in force 3 s after it was written.
 	maxStoreAge = 2 * time.Second
+	// maxListLag is how long a list of agents counts as complete after a watcher has had a
+	// newer one. Hosts get no flows in the first second after they are listed.
+	maxListLag = 800 * time.Millisecond
 	// minTTL and ttlIntervals bound how long a balancer counts as known after its last
 	// digest or, before its first, after it was reported. It is at least minTTL.
 	minTTL       = 3 * time.Second
@@ -83,6 +86,9 @@
 	storeSeenAt         time.Time
 	// sourceSeenAt is when another watcher last had current data.
 	sourceSeenAt time.Time
+	// listCurrentAt is when this balancer's list of agents was last as new as those of all
+	// watchers.
+	listCurrentAt time.Time
 }
 
 // New returns a set without other balancers.
@@ -213,16 +219,19 @@
 
 // ListIsComplete reports whether a list of agents with the given revision is complete
 // by the digests of the watchers: one of them with current data reports that its list
-// is, and none has a newer one.
+// is, and none has had a newer one for longer than maxListLag. The list changes all the
+// time while many agents start, so a balancer that does not watch is often a little
+// behind.
 func (s *Set) ListIsComplete(now time.Time, revision int64) (complete bool) {
+	var newest int64
 	for _, p := range s.byAddress {
-		if !p.isSource(now) {
-			continue
+		if p.isSource(now) {
+			newest = max(newest, p.digest.ListRevision)
+			complete = complete || p.digest.ListComplete
 		}
-		if p.digest.ListRevision > revision {
-			return false
-		}
-		complete = complete || p.digest.ListComplete
 	}
-	return complete
+	if newest <= revision {
+		s.listCurrentAt = now
+	}
+	return complete && now.Sub(s.listCurrentAt) <= maxListLag
 }
--- a/internal/segment/peers/peers_test.go
+++ b/internal/segment/peers/peers_test.go
@@ -211,6 +211,31 @@
 	}
 }
 
+// Guards against a list that hardly ever counts as complete while the store's list
+// changes all the time, as after a loss of power, so that flows which no host holds are
+// not reset; and against one that stays complete when it is not renewed.
+func TestListIsCompleteWhileItChanges(t *testing.T) {
+	is := is.New(t)
+	s, err := New(Config{Self: testAddress(1)})
+	is.NoErr(err)
+	d := source(0, 0)
+	for ms := 0; ms < 5000; ms += 200 {
+		d.ListRevision++
+		s.HandleDigest(at(ms), testAddress(2), d)
+		own := d.ListRevision
+		if ms%600 != 0 {
+			own-- // the view with the newest list has not been read yet
+		}
+		is.True(s.ListIsComplete(at(ms), own))
+	}
+	own := d.ListRevision
+	for ms := 5000; ms < 7000; ms += 200 {
+		d.ListRevision++
+		s.HandleDigest(at(ms), testAddress(2), d)
+		is.Equal(s.ListIsComplete(at(ms), own), at(ms).Sub(at(4800)) <= maxListLag) // 4800 was the last time without a newer list
+	}
+}
+
 // Guards against digests whose number grows with the square of the number of balancers,
 // and against balancers that are forgotten between two digests.
 func TestDigestInterval(t *testing.T) {
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -74,6 +74,8 @@
 	hostISN uint32
 	// lastAck is the caller's last acknowledgement, which becomes the sequence number of a reset.
 	lastAck uint32
+	// hostNext is the sequence number after the last packet of the host, or 0 before the first.
+	hostNext uint32
 	// balancer is the balancer that sent the last packet. It is invalid if none did.
 	balancer netip.Addr
 	// notifiedBalancer is the balancer that was last notified that the host holds the flow.
@@ -236,8 +238,9 @@
 )
 
 // Locate returns whether the host holds a flow, for a balancer that searches for the host of the flow. If the answer is
-// HoldingYes, the balancer counts as notified.
-func (r *Relay) Locate(balancer netip.Addr, key flow.Key) Holding {
+// HoldingYes, the balancer counts as notified. acknowledgement is that of a packet of the caller, or 0 if none is known.
+// If it is not of the flow that the host held under this key, the caller has used its port again.
+func (r *Relay) Locate(balancer netip.Addr, key flow.Key, acknowledgement uint32) Holding {
 	f := r.flows[key]
 	switch {
 	case f == nil && (r.host.allFlowsSeen || r.host.state == packet.HostGone):
@@ -249,6 +252,9 @@
 	case stateAbsent, stateOffered:
 		return HoldingNo
 	case stateOpen:
+		if acknowledgement != 0 && f.hostNext != 0 && !packet.SameSpace(acknowledgement, f.hostNext) {
+			return HoldingNo
+		}
 		f.notifiedBalancer = balancer
 		return HoldingYes
 	case stateAnswered, stateProbed:
@@ -270,6 +276,9 @@
 		r.addFlow(now, key, f)
 	}
 	f.lastHostPacketAt = now
+	if next := s.Sequence + uint32(s.PayloadLength); f.hostNext == 0 || int32(next-f.hostNext) > 0 {
+		f.hostNext = next
+	}
 	decisions = []Decision{SendToCaller{Flow: key, Data: s.Data}}
 	if s.Flags.Has(packet.SYN | packet.ACK) {
 		if f.state == stateOffered {
