peers: Renew the age of a list only with a watcher

Cause: without any watcher the list counted as current, so its age began anew; TestListIsCompleteByDigests failed on the commit before.

Change and result: the age is renewed only while a watcher has current data; the tests of internal/segment pass.

--- a/internal/segment/peers/peers.go
+++ b/internal/segment/peers/peers.go
@@ -224,13 +224,15 @@
 // behind.
 func (s *Set) ListIsComplete(now time.Time, revision int64) (complete bool) {
 	var newest int64
+	sources := 0
 	for _, p := range s.byAddress {
 		if p.isSource(now) {
+			sources++
 			newest = max(newest, p.digest.ListRevision)
 			complete = complete || p.digest.ListComplete
 		}
 	}
-	if newest <= revision {
+	if sources > 0 && newest <= revision {
 		s.listCurrentAt = now
 	}
 	return complete && now.Sub(s.listCurrentAt) <= maxListLag
