dispatch, relay: Keep a located flow whose agent sent no status yet

A balancer that had just started asked the agents for the flow; one answered that its host holds it, but its status had not arrived. The balancer labelled the packets with service tag 0, the agent returned them as wrong_service, and the balancer reset the living flow as host_lost.

Change: an agent delivers packets of flows that its host holds whatever their label; a wrong_service of an agent without a status neither resets a flow nor counts as a denial.

Measured: TestOwnerWithoutStatus (reset, drop expected) and TestLabelOfAnotherService (returned, delivery expected) failed before and pass.

--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -61,6 +61,9 @@
 	// ReasonNotFound means that a search has not found the flow, but that a host whose
 	// agent was not asked or has not denied the flow may hold it.
 	ReasonNotFound Reason = "not_found"
+	// ReasonNoStatus means that the agent of the flow's host returned the packet because
+	// of its label: it has not sent its status yet, so its service is not known.
+	ReasonNoStatus Reason = "no_status"
 	// ReasonStarting means that the balancer has started and has no configuration yet.
 	ReasonStarting Reason = "starting"
 	// ReasonForgotten means that an agent returned a packet of a flow, or of an offer,
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -369,7 +369,12 @@
 		}
 		return d.offer(now, e, s.Data, StepNextOffer)
 	}
-	notHeld := reason == packet.ReturnNotHeld || reason == packet.ReturnWrongService
+	// The label of packets to an agent without a status names no service.
+	mislabelled := reason == packet.ReturnWrongService && a != nil && !a.statusKnown
+	if mislabelled && e.phase == phaseEstablished {
+		return []Decision{Drop{Flow: key, Reason: ReasonNoStatus}}
+	}
+	notHeld := reason == packet.ReturnNotHeld || reason == packet.ReturnWrongService && !mislabelled
 	if notHeld && a != nil {
 		e.addDenial(now, a)
 	}
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -318,3 +318,21 @@
 	b.is.Equal(b.onlyForward(decisions).Agent, other)
 	b.is.Equal(b.onlyForward(b.HandlePacket(b.now, segment(packet.ACK, 1_000_301, 2_000_001_000))).Agent, other)
 }
+
+// Guards against resets of living flows by a balancer that has just started: an agent
+// has told it that its host holds a flow, but has not sent its status yet. The balancer
+// does not know the agent's service then, so that the label of the packets is wrong.
+func TestOwnerWithoutStatus(t *testing.T) {
+	b := newTestBalancer(t)
+	b.AddAgents(b.now, []netip.Addr{host(5)})
+	s := segment(packet.ACK, 500, 6000)
+	b.HandlePacket(b.now, s)
+	b.onlyForward(b.HandleLocated(b.now, host(5), []flow.Key{s.KeyFromCaller()}, nil, nil, packet.Load{}))
+	decisions := b.HandleReturned(b.now, host(5), s, packet.ReturnWrongService, packet.Load{})
+	b.is.Equal(decisions, []Decision{Drop{Flow: s.KeyFromCaller(), Reason: ReasonNoStatus}})
+
+	b.reportStatus(host(5), "studio", packet.HostReady)
+	b.is.Equal(b.onlyForward(b.HandlePacket(b.now, s)).ServiceTag, packet.ServiceTag("studio"))
+	decisions = b.HandleReturned(b.now, host(5), s, packet.ReturnWrongService, packet.Load{}) // the address has another service now
+	b.is.Equal(decisions, []Decision{Reset{Flow: s.KeyFromCaller(), Sequence: 6000, Reason: ReasonHostLost}})
+}
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -142,10 +142,10 @@
 	if s.Flags.Has(packet.SYN | packet.ACK) {
 		return []Decision{Drop{Flow: key, Reason: ReasonNotForHost}}
 	}
-	if l.ServiceTag != r.serviceTag {
+	f := r.flows[key]
+	if l.ServiceTag != r.serviceTag && !f.holds(s) {
 		return []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnWrongService, Data: s.Data}}
 	}
-	f := r.flows[key]
 	if f != nil && l.Probe {
 		// The balancer may have restarted, or the notice to it may have been lost.
 		f.notifiedBalancer = netip.Addr{}
@@ -156,6 +156,12 @@
 	return r.handleLaterPacket(now, key, f, balancer, s)
 }
 
+// holds reports whether a packet is of an open flow of the host; f is the entry of its key, or nil. Such a packet is
+// delivered whatever its label: a balancer that has just started may not know the service of this agent yet.
+func (f *flowEntry) holds(s *packet.Segment) bool {
+	return f != nil && f.state == stateOpen && !s.IsFirstPacket() && packet.SameSpace(s.Acknowledgement, f.hostNext)
+}
+
 // handleFirstPacket decides on the first packet of a flow, or a retransmission of it.
 func (r *Relay) handleFirstPacket(now time.Time, key flow.Key, f *flowEntry, balancer netip.Addr, l packet.Label, s *packet.Segment) (decisions []Decision) {
 	if f != nil && f.state != stateAbsent && f.callerISN == s.Sequence && !f.ended {
--- a/internal/segment/relay/relay_test.go
+++ b/internal/segment/relay/relay_test.go
@@ -467,3 +467,35 @@
 		})
 	}
 }
+
+// Guards against packets of living flows that are returned because a balancer that has just started does not know the
+// service of this agent yet; and against first packets, and packets of other flows, for another service.
+func TestLabelOfAnotherService(t *testing.T) {
+	other := packet.Label{ServiceTag: packet.ServiceTag("archive")}
+	cases := []struct {
+		name    string
+		open    bool
+		segment *packet.Segment
+		deliver bool
+	}{
+		{"packet of an open flow", true, callerSegment(packet.ACK, 401, 5001, 300), true},
+		{"first packet", true, callerSegment(packet.SYN, 9000, 0, 0), false},
+		{"packet of another flow from the same port", true, callerSegment(packet.ACK, 401, 900_000_000, 300), false},
+		{"unknown flow", false, callerSegment(packet.ACK, 401, 5001, 300), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, true)
+			if c.open {
+				f.openFlow()
+				f.HandleFromHost(f.now, hostSegment(packet.ACK, 5001, 300))
+			}
+			decisions := f.HandleFromBalancer(f.now, otherBalancer, other, c.segment)
+			_, delivered := decisions[0].(Deliver)
+			f.is.Equal(delivered, c.deliver)
+			if !c.deliver {
+				f.is.Equal(decisions[0].(Return).Reason, packet.ReturnWrongService)
+			}
+		})
+	}
+}
