agent: Probe a silent host and reset its flows if it does not run

Cause: after a loss of power, balancers reset no flow as long as one listed agent could not deny it: an agent cannot before the first heartbeat of its host, and machines that were switched on without a host went away within 2 s without removing their entries, each listed for 10 s and waited for 4 s more.

Change: an agent without a heartbeat since its start, or whose host has fallen silent, opens a TCP connection to the host without a request. If the machine refuses it, no process of the host runs: the agent resets the host's flows, denies all others and reports the host as gone; at a planned stop it removes its entry.

--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -174,6 +174,7 @@
 	g.Go("host", func(context.Context) error { return a.hostSocket.Serve(a.handleHostPacket) })
 	g.Go("keep store entry", a.registrar.Run)
 	g.Every("unanswered packets", tickInterval, a.checkHost)
+	g.Every("probe host", probeCheckInterval, a.probeHost)
 	g.Every("housekeeping", housekeepingInterval, a.doHousekeeping)
 	g.Every("unasked status", unaskedInterval, a.sendStatusUnasked)
 }
@@ -259,9 +260,12 @@
 }
 
 // Stop makes the agent return the first packets of new flows and reports to the balancers that it is stopping. If the
-// host has ended, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the entry stays for
+// host has ended or does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the entry stays for
 // a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
 func (a *Agent) Stop(ctx context.Context) {
+	if a.hostRefuses() {
+		a.handleHostAbsent()
+	}
 	now := time.Now()
 	a.mu.Lock()
 	a.core.Stop()
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -336,3 +336,29 @@
 	decisions = b.HandleReturned(b.now, host(5), s, packet.ReturnWrongService, packet.Load{}) // the address has another service now
 	b.is.Equal(decisions, []Decision{Reset{Flow: s.KeyFromCaller(), Sequence: 6000, Reason: ReasonHostLost}})
 }
+
+// Guards against flows that are not reset for many seconds after a loss of power,
+// because the agents of machines without a host have gone away again and cannot deny
+// them: their last status said that the host is gone.
+func TestGoneHostHoldsNothing(t *testing.T) {
+	b := newTestBalancer(t)
+	b.SetListedAgents(b.now, []netip.Addr{host(0), host(1), host(2), host(9)})
+	b.SetAgentListComplete(true)
+	b.HandleStatus(b.now, host(9), Status{Service: "archive", State: packet.HostGone, Stopping: true})
+	b.advance(silentAfter + time.Millisecond)
+	for i := range 3 {
+		b.reportStatus(host(i), "studio", packet.HostReady)
+	}
+	s := segment(packet.ACK, 500, 6000)
+	b.HandlePacket(b.now, s)
+	for i := range 3 {
+		b.replyDenied(host(i), s.KeyFromCaller())
+	}
+	b.advance(searchTimeout) // the agent of host 9 does not answer
+	var decisions []Decision
+	for range 3 {
+		decisions = append(decisions, b.nextRound()...)
+		b.advance(searchTimeout)
+	}
+	b.is.Equal(decisions[len(decisions)-1], Reset{Flow: s.KeyFromCaller(), Sequence: 6000, Reason: ReasonHeldNowhere})
+}
--- /dev/null
+++ b/internal/segment/relay/absence.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"time"
+
+	"agateramp/internal/segment/packet"
+)
+
+const (
+	// minProbeInterval is the least time between two probes of the host.
+	minProbeInterval = 250 * time.Millisecond
+	// probeAfterHeartbeats is after how many heartbeat intervals without a heartbeat the host is probed.
+	probeAfterHeartbeats = 1.5
+	// minQuietTime is how long a host must have sent no packet for a refused probe to count. A host that is just
+	// starting may receive packets before it accepts connections.
+	minQuietTime = 200 * time.Millisecond
+)
+
+// NeedsProbe reports whether the importer should try to connect to the host now, to learn whether its process runs: the
+// agent has received no heartbeat since its start, or the host has fallen silent. The next probe is due after
+// minProbeInterval at the earliest.
+func (r *Relay) NeedsProbe(now time.Time) bool {
+	h := &r.host
+	if now.Before(h.nextProbeAt) {
+		return false
+	}
+	switch {
+	case h.state == packet.HostGone, h.absent:
+		return false
+	case h.id == "":
+	case h.unansweredCount > 0:
+	case now.Sub(h.lastHeartbeatAt) > time.Duration(probeAfterHeartbeats*float64(r.heartbeatInterval)):
+	default:
+		return false
+	}
+	h.nextProbeAt = now.Add(minProbeInterval)
+	return true
+}
+
+// HandleHostAbsent records that the machine refused a connection to the host because no process listens there: the host
+// is not running and has lost all its flows. The decisions reset them. The next start of the host begins with its first
+// heartbeat or packet.
+func (r *Relay) HandleHostAbsent(now time.Time) (decisions []Decision) {
+	h := &r.host
+	if now.Sub(h.lastPacketAt) < minQuietTime {
+		return nil
+	}
+	h.absent = true
+	for key, f := range r.flows {
+		if f.state == stateOpen && !f.ended {
+			decisions = append(decisions, Reset{Flow: key, Sequence: f.lastAck, Reason: ReasonHostAbsent})
+		}
+		r.removeFlow(now, key, f)
+	}
+	return decisions
+}
+
+// HostAbsent reports whether the host is known not to run.
+func (r *Relay) HostAbsent() bool { return r.host.absent }
+
+// holdsNoOtherFlows reports whether the host holds no flow that is not in the table.
+func (h *host) holdsNoOtherFlows() bool {
+	return h.allFlowsSeen || h.absent || h.state == packet.HostGone
+}
--- /dev/null
+++ b/internal/segment/relay/absence_test.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"agateramp/internal/segment/packet"
+)
+
+// probe makes the importer's probe at the current time, if one is due, and reports whether it was. The machine refuses
+// the connection.
+func (f *fixture) probe() (due bool, decisions []Decision) {
+	if due = f.NeedsProbe(f.now); due {
+		decisions = f.HandleHostAbsent(f.now)
+	}
+	return due, decisions
+}
+
+// Guards against probes of hosts that are alive, each of which opens a connection, and against hosts that are not
+// probed although they may have died.
+func TestNeedsProbe(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(f *fixture)
+		want   bool
+	}{
+		{"alive", func(*fixture) {}, false},
+		{"heartbeat late", func(f *fixture) { f.advance(2 * heartbeatInterval) }, true},
+		{"first packet without an answer", func(f *fixture) {
+			f.advance(time.Millisecond)
+			f.receiveFromBalancer(callerSegment(packet.SYN, 100, 0, 0))
+			f.advance(2 * answerTimeout)
+			f.Tick(f.now)
+		}, true},
+		{"probed a moment ago", func(f *fixture) {
+			f.advance(2 * heartbeatInterval)
+			f.NeedsProbe(f.now)
+			f.advance(minProbeInterval / 2)
+		}, false},
+		{"known to be absent", func(f *fixture) {
+			f.advance(2 * heartbeatInterval)
+			f.probe()
+			f.advance(time.Minute)
+		}, false},
+		{"deregistered", func(f *fixture) {
+			f.HandleDeregister("i-1")
+			f.advance(time.Minute)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, false)
+			c.before(f)
+			f.is.Equal(f.NeedsProbe(f.now), c.want)
+		})
+	}
+	r, err := New(Config{Service: "studio", HeartbeatInterval: heartbeatInterval})
+	f := newFixture(t, false)
+	f.is.NoErr(err)
+	f.is.True(r.NeedsProbe(start)) // no heartbeat since the start of the agent
+}
+
+// Guards against callers that wait for their timeout because their host has died: its agent lives, but only the next
+// start of the host would tell it.
+func TestAbsentHost(t *testing.T) {
+	f := newFixture(t, true)
+	f.openFlow()
+	key := callerSegment(0, 0, 0, 0).KeyFromCaller()
+	f.advance(2 * heartbeatInterval)
+	due, decisions := f.probe()
+	f.is.True(due)
+	f.is.Equal(decisions, []Decision{Reset{Flow: key, Sequence: 5001, Reason: ReasonHostAbsent}})
+	f.is.Equal(f.State(f.now), packet.HostGone)
+	f.is.Equal(f.Locate(balancer, key, 0), HoldingNo) // the agent can tell now
+
+	verdict, decisions := f.HandleHeartbeat(f.now, Heartbeat{ID: "i-2", StartMS: 9000, Age: time.Hour, Sequence: 1, State: packet.HostReady, Slots: 2})
+	f.is.Equal(verdict, VerdictNewHost)
+	f.is.Equal(len(decisions), 0)
+	f.is.Equal(f.State(f.now), packet.HostReady)
+	f.is.Equal(f.Locate(balancer, key, 0), HoldingNo) // the new start began after the old one had ended
+}
+
+// Guards against resets of living flows: a host that is just starting may serve flows before it accepts connections.
+func TestHostThatSendsIsNotAbsent(t *testing.T) {
+	f := newFixture(t, false)
+	f.advance(2 * heartbeatInterval)
+	f.openFlow()
+	f.is.Equal(len(f.HandleHostAbsent(f.now)), 0)
+	f.is.Equal(f.HostAbsent(), false)
+	f.is.Equal(f.Locate(balancer, callerSegment(0, 0, 0, 0).KeyFromCaller(), 0), HoldingYes)
+}
--- a/internal/segment/relay/decision.go
+++ b/internal/segment/relay/decision.go
@@ -60,6 +60,8 @@
 
 // The reasons of drops and resets.
 const (
+	// ReasonHostAbsent means that the process of the host that held the flow does not run.
+	ReasonHostAbsent Reason = "host_absent"
 	// ReasonHostRestarted means that the host has restarted and lost its flows.
 	ReasonHostRestarted Reason = "host_restarted"
 	// ReasonHostLostFlow means that the host bounced a packet of a flow that it held before.
--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -82,6 +82,10 @@
 	unansweredCount int
 	lastPacketAt    time.Time
 	nextTrialAt     time.Time
+
+	// absent is set while no process of the host runs, and nextProbeAt is when it is probed again at the earliest.
+	absent      bool
+	nextProbeAt time.Time
 }
 
 // HandleHeartbeat processes a heartbeat. If it is of a new start, the decisions reset the flows of the start before.
@@ -106,7 +110,8 @@
 	// heartbeat interval, the agent has missed none: an earlier run of the agent cannot have acknowledged a heartbeat
 	// of this start yet, and without a heartbeat it would have refused new flows.
 	startedWithAgent := hb.Age >= 0 && hb.Age < r.heartbeatInterval/2
-	r.host = host{id: hb.ID, startMS: hb.StartMS, allFlowsSeen: !firstStart || startedWithAgent, lastPacketAt: now, firstHeartbeatAt: now}
+	seen := !firstStart || startedWithAgent || r.host.holdsNoOtherFlows()
+	r.host = host{id: hb.ID, startMS: hb.StartMS, allFlowsSeen: seen, lastPacketAt: now, firstHeartbeatAt: now}
 	r.applyHeartbeat(now, hb)
 	return VerdictNewHost, decisions
 }
@@ -114,7 +119,7 @@
 // applyHeartbeat stores the contents of a heartbeat of the current start.
 func (r *Relay) applyHeartbeat(now time.Time, hb Heartbeat) {
 	h := &r.host
-	h.sequence, h.state, h.slots, h.lastHeartbeatAt = hb.Sequence, hb.State, hb.Slots, now
+	h.sequence, h.state, h.slots, h.lastHeartbeatAt, h.absent = hb.Sequence, hb.State, hb.Slots, now, false
 	h.coldUntil = now.Add(hb.ColdRemaining)
 }
 
@@ -147,6 +152,8 @@
 func (r *Relay) State(now time.Time) packet.HostState {
 	h := &r.host
 	switch {
+	case h.absent:
+		return packet.HostGone
 	case h.state != packet.HostReady:
 		return h.state
 	case now.Sub(h.lastHeartbeatAt) > maxMissedHeartbeats*r.heartbeatInterval, h.unansweredCount >= maxUnanswered:
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -180,7 +180,7 @@
 func (r *Relay) handleLaterPacket(now time.Time, key flow.Key, f *flowEntry, balancer netip.Addr, s *packet.Segment) (decisions []Decision) {
 	notHeld := []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnNotHeld, Data: s.Data}}
 	if f == nil {
-		if r.host.allFlowsSeen || r.host.state == packet.HostGone {
+		if r.host.holdsNoOtherFlows() {
 			return notHeld
 		}
 		f = &flowEntry{state: stateProbed, balancer: balancer}
@@ -249,7 +249,7 @@
 func (r *Relay) Locate(balancer netip.Addr, key flow.Key, acknowledgement uint32) Holding {
 	f := r.flows[key]
 	switch {
-	case f == nil && (r.host.allFlowsSeen || r.host.state == packet.HostGone):
+	case f == nil && r.host.holdsNoOtherFlows():
 		return HoldingNo
 	case f == nil:
 		return HoldingUnsure
@@ -274,7 +274,7 @@
 	if s.Flags.Has(packet.Bounced) {
 		return r.handleBounced(now, s)
 	}
-	r.host.lastPacketAt, r.host.unansweredCount = now, 0
+	r.recordHostPacket(now)
 	key := s.KeyFromHost()
 	f := r.flows[key]
 	if f == nil || f.state == stateAbsent {
@@ -315,7 +315,7 @@
 	}
 	balancer := f.balancer
 	if s.IsFirstPacket() {
-		r.host.lastPacketAt, r.host.unansweredCount = now, 0
+		r.recordHostPacket(now)
 		r.removeFlow(now, key, f)
 		return []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnRefused, Data: s.Data}}
 	}
@@ -333,6 +333,16 @@
 	return []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnNotHeld, Data: s.Data}}
 }
 
+// recordHostPacket records that the host has sent a packet, so that it runs.
+func (r *Relay) recordHostPacket(now time.Time) {
+	h := &r.host
+	h.lastPacketAt, h.unansweredCount = now, 0
+	if h.absent {
+		// A new start of the host, which has had no flows before this one.
+		h.absent, h.allFlowsSeen = false, true
+	}
+}
+
 // resetEarlierFlows removes the flows of an earlier start of the host and resets those that are open. It keeps flows
 // with packets of the host from just before the first heartbeat of the new start, because they may belong to the new
 // start; if they do not, the host bounces their next packet.
