balancer: Answer queued flows at a planned stop

Cause: a balancer that stopped went away after 0.4 s without packets although first packets were queued; their callers got no answer until they gave up.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -330,22 +330,30 @@
 )
 
 // Stop makes Ready return false, so that the routers that spread packets over the balancers stop choosing this one. It
-// blocks until no packet has arrived for a while or StopTimeout has passed. Packets that still arrive are forwarded.
-// Stop does not stop the group.
+// blocks until no packet has arrived for a while and none is queued, or StopTimeout has passed. Packets that still arrive
+// are forwarded; flows that are still queued at the end are reset. Stop does not stop the group.
 func (b *Balancer) Stop() {
 	started := time.Now()
 	b.mu.Lock()
 	b.stopping = true
 	b.mu.Unlock()
 	logging.Line(level.Info(b.config.Logger), "event", "stopping")
+	defer b.refuseQueued()
 	deadline := started.Add(b.config.StopTimeout)
 	for now := started; now.Before(deadline); now = time.Now() {
 		time.Sleep(100 * time.Millisecond)
 		b.mu.Lock()
-		idle := now.Sub(b.lastPacketAt) > stopIdleTime
+		idle := now.Sub(b.lastPacketAt) > stopIdleTime && !b.core.Busy()
 		b.mu.Unlock()
 		if idle && now.Sub(started) > routerNoticeTime {
 			return
 		}
 	}
 }
+
+// refuseQueued resets the flows that are still queued.
+func (b *Balancer) refuseQueued() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.execute(time.Now(), b.core.Close())
+}
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -58,6 +58,8 @@
 	ReasonQueued Reason = "queued"
 	// ReasonOverload means that no host had room for the flow in time.
 	ReasonOverload Reason = "overload"
+	// ReasonStopping means that the balancer ended while the first packet was queued.
+	ReasonStopping Reason = "stopping"
 	// ReasonNotFound means that a search has not found the flow, but that a host whose
 	// agent was not asked or has not denied the flow may hold it.
 	ReasonNotFound Reason = "not_found"
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -179,3 +179,23 @@
 		a.fullUntil = a.fullForLateUntil
 	}
 }
+
+// Busy reports whether a first packet is queued or offered to a host that has not
+// answered, or a flow is searched for.
+func (d *Dispatcher) Busy() bool {
+	waits := func(e *flowEntry) bool { return !e.deadline.IsZero() }
+	return len(d.queue.waiting) > 0 || len(d.lookups.waiting) > 0 || slices.ContainsFunc(d.deadlines, waits)
+}
+
+// Close returns the decisions to reset the flows that are still queued, because the
+// balancer ends. No host has been given their requests.
+func (d *Dispatcher) Close() (decisions []Decision) {
+	waiting := d.queue.waiting
+	d.queue.waiting = nil
+	for _, e := range waiting {
+		if e.phase == phaseQueued && d.flows.byKey[e.key] == e {
+			decisions = append(decisions, d.reset(e, 0, ReasonStopping)...)
+		}
+	}
+	return decisions
+}
--- a/internal/segment/dispatch/queue_test.go
+++ b/internal/segment/dispatch/queue_test.go
@@ -103,6 +103,26 @@
 	b.is.Equal(len(b.queue.waiting), 2)
 }
 
+// Guards against callers that get no answer because the balancer of their first packet
+// stops while the packet is queued or offered to a host: a planned stop waits for both,
+// and what is still queued at its end is refused, so that callers try again at once.
+func TestStopWhileQueued(t *testing.T) {
+	b := newTestBalancer(t)
+	b.is.Equal(b.Busy(), false)
+	offered := firstPacket(999, studioAddr, 0)
+	agent := b.onlyForward(b.HandlePacket(b.now, offered)).Agent
+	b.is.True(b.Busy())
+	b.HandleAccepted(b.now, agent, offered.KeyFromCaller(), 5000, true, packet.Load{})
+	b.Tick(b.now)
+	b.is.Equal(b.Busy(), false)
+
+	s := firstPacket(1000, studioAddr, 0)
+	b.queueAfterBusy(s)
+	b.is.True(b.Busy())
+	b.is.Equal(b.Close(), []Decision{Reset{Flow: s.KeyFromCaller(), Reason: ReasonStopping}})
+	b.is.Equal(b.Busy(), false)
+}
+
 // Guards against flows that are reset after a few hosts have refused them although
 // others were not asked: right after a loss of power the hosts that are still cold
 // refuse, and the others have room.
--- a/internal/segment/relay/relay_test.go
+++ b/internal/segment/relay/relay_test.go
@@ -499,3 +499,16 @@
 		})
 	}
 }
+
+// Guards against an agent that was paused for some seconds and goes on with what its host had said before: the host may
+// have left meanwhile. It takes flows again with the host's next heartbeat.
+func TestPausedAgentTakesNoFlows(t *testing.T) {
+	f := newFixture(t, false)
+	first := callerSegment(packet.SYN, 100, 0, 0)
+	f.advance(maxMissedHeartbeats*heartbeatInterval + time.Millisecond)
+	f.is.Equal(f.State(f.now), packet.HostUnresponsive)
+	f.is.Equal(f.receiveFromBalancer(first)[0].(Return).Reason, packet.ReturnNoHost)
+	f.sendHeartbeat(nil)
+	_, delivered := f.receiveFromBalancer(first)[0].(Deliver)
+	f.is.True(delivered)
+}
