--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -47,7 +47,7 @@
 func (a *Agent) recordHello(now time.Time, from netip.Addr) {
 	a.balancers[from] = now
 	if !a.lastHelloAt.IsZero() {
-		// A silence says nothing of the usual gap.
+		// A long silence is an outage of the balancers, not a longer gap.
 		gap := min(now.Sub(a.lastHelloAt), a.helloSilence())
 		a.helloGap += time.Duration(helloGapWeight * float64(gap-a.helloGap))
 	}
--- a/internal/segment/agent/probe.go
+++ b/internal/segment/agent/probe.go
@@ -19,7 +19,7 @@
 )
 
 // hostRefuses reports whether the machine refuses connections to the host because no process listens at its address. A
-// connection that is accepted is closed at once; no request is sent. A time-out says nothing.
+// connection that is accepted is closed at once; no request is sent. After a timeout the host may be running.
 func (a *Agent) hostRefuses() bool {
 	conn, err := net.DialTimeout("tcp4", a.config.HostAddress.String(), probeTimeout)
 	if err == nil {
@@ -29,7 +29,7 @@
 }
 
 // probeHost probes the host if it has sent no heartbeat yet or has fallen silent. If no process of the host runs, its
-// flows are lost, and their callers are told at once.
+// flows are lost and are reset at once.
 func (a *Agent) probeHost() {
 	a.mu.Lock()
 	needed := a.core.NeedsProbe(time.Now())
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -320,8 +320,8 @@
 }
 
 // Guards against resets of living flows by a balancer that has just started: an agent
-// has told it that its host holds a flow, but has not sent its status yet. The balancer
-// does not know the agent's service then, so that the label of the packets is wrong.
+// has answered a lookup, but its status has not arrived yet. The balancer does not know
+// the agent's service then, so the label of the packets is wrong.
 func TestOwnerWithoutStatus(t *testing.T) {
 	b := newTestBalancer(t)
 	b.AddAgents(b.now, []netip.Addr{host(5)})
@@ -339,7 +339,7 @@
 
 // Guards against flows that are not reset for many seconds after a loss of power,
 // because the agents of machines without a host have gone away again and cannot deny
-// them: their last status said that the host is gone.
+// them, although their last status was that the host is gone.
 func TestGoneHostHoldsNothing(t *testing.T) {
 	b := newTestBalancer(t)
 	b.SetListedAgents(b.now, []netip.Addr{host(0), host(1), host(2), host(9)})
--- a/internal/segment/peers/peers.go
+++ b/internal/segment/peers/peers.go
@@ -3,10 +3,10 @@
 //
 // A few balancers, the watchers, watch the store for the configuration and the list of
 // agents. The others read both from a watcher, so that the calls to the store do not
-// grow with the number of balancers. Nobody appoints the watchers: every balancer ranks
-// those that it knows in the same order, and the first ones watch. A watch only reads,
-// so too many watchers cost calls and do no other harm, and a balancer that knows no
-// watcher with recent data watches itself.
+// grow with the number of balancers. There is no election: every balancer ranks those
+// that it knows in the same order, and the first ones watch. A watch only reads, so too
+// many watchers cost calls and do no other harm, and a balancer that knows no watcher
+// with recent data watches itself.
 //
 // A Set does no I/O and reads no clock.
 package peers
--- a/internal/segment/peers/peers_test.go
+++ b/internal/segment/peers/peers_test.go
@@ -160,7 +160,7 @@
 		is.True(size == 5 || len(f.working()) == watcherCount)
 		f.watchSwitches = 0
 		f.run(24_000, 34_000)
-		is.Equal(f.watchSwitches, 0) // nobody begins or stops without a reason
+		is.Equal(f.watchSwitches, 0) // no balancer begins or stops without a reason
 	}
 }
 
