--- a/internal/segment/relay/absence_test.go
+++ b/internal/segment/relay/absence_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -89,3 +90,23 @@
 	f.is.Equal(f.HostAbsent(), false)
 	f.is.Equal(f.Locate(balancer, callerSegment(0, 0, 0, 0).KeyFromCaller(), 0), HoldingYes)
 }
+
+// Guards against a host that attracts flows because it fails fast: while it goes down and up it accepts flows and resets
+// them at their first request, so that it never looks busy. Its agent should offer it no more than a trial flow meanwhile.
+func TestHostThatResetsRequests(t *testing.T) {
+	f := newFixture(t, false)
+	for port := uint16(1); port <= 5; port++ {
+		from := netip.AddrPortFrom(caller.Addr(), port)
+		first := callerSegment(packet.SYN, 100, 0, 0)
+		request := callerSegment(packet.ACK, 101, 5001, 300)
+		answer, reset := hostSegment(packet.SYN|packet.ACK, 5000, 0), hostSegment(packet.RST, 5001, 0)
+		first.Source, request.Source, answer.Destination, reset.Destination = from, from, from, from
+		f.receiveFromBalancer(first)
+		f.HandleFromHost(f.now, answer)
+		f.receiveFromBalancer(request)
+		f.advance(time.Millisecond)
+		f.HandleFromHost(f.now, reset)
+		f.advance(10 * time.Millisecond)
+	}
+	f.is.Equal(f.State(f.now), packet.HostUnresponsive)
+}
