store: Report the generation of the store and log restores

The logs could not tell whether a watch had resumed after a revision that was given out again, whether a list was rejected because revisions went back, or when an agent noticed that its entry was gone.

Mirrors log store_restored with the call that showed it and the revision known before; registrars log entry_lease_lost and entry_written. Decisions are unchanged.

--- a/internal/control/agents/specs.go
+++ b/internal/control/agents/specs.go
@@ -59,7 +59,7 @@
 // handleTableList applies the table specs of a full read of the store and removes those of
 // services that it does not list. The streams to the seeds end, because they are needed only
 // until the first read.
-func (s *Service) handleTableList(entries []store.Entry, _ int64) {
+func (s *Service) handleTableList(entries []store.Entry, _ store.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := map[uint32]bool{}
--- a/internal/control/agents/store_test.go
+++ b/internal/control/agents/store_test.go
@@ -57,7 +57,7 @@
 // unavailable reports whether calls of this balancer fail.
 func (s *faultyStore) unavailable() bool { return s.faults.down.Load() || s.cutOff.Load() }
 
-func (s *faultyStore) Get(ctx context.Context, key string) (e *store.Entry, revision int64, err error) {
+func (s *faultyStore) Get(ctx context.Context, key string) (e *store.Entry, revision store.Revision, err error) {
 	err = s.call(ctx, func() (err error) {
 		e, revision, err = s.Store.Get(ctx, key)
 		return err
@@ -65,7 +65,7 @@
 	return e, revision, err
 }
 
-func (s *faultyStore) List(ctx context.Context, prefix string) (entries []store.Entry, revision int64, err error) {
+func (s *faultyStore) List(ctx context.Context, prefix string) (entries []store.Entry, revision store.Revision, err error) {
 	err = s.call(ctx, func() (err error) {
 		entries, revision, err = s.Store.List(ctx, prefix)
 		return err
@@ -89,15 +89,19 @@
 	return id, err
 }
 
-func (s *faultyStore) KeepAlive(ctx context.Context, id store.LeaseID) error {
-	return s.call(ctx, func() error { return s.Store.KeepAlive(ctx, id) })
+func (s *faultyStore) KeepAlive(ctx context.Context, id store.LeaseID) (generation uint64, err error) {
+	err = s.call(ctx, func() (err error) {
+		generation, err = s.Store.KeepAlive(ctx, id)
+		return err
+	})
+	return generation, err
 }
 
 func (s *faultyStore) Revoke(ctx context.Context, id store.LeaseID) error {
 	return s.call(ctx, func() error { return s.Store.Revoke(ctx, id) })
 }
 
-func (s *faultyStore) Watch(ctx context.Context, prefix string, revision int64) (w store.Watcher, err error) {
+func (s *faultyStore) Watch(ctx context.Context, prefix string, revision store.Revision) (w store.Watcher, err error) {
 	err = s.call(ctx, func() (err error) {
 		w, err = s.Store.Watch(ctx, prefix, revision)
 		return err
--- a/internal/control/agents/system_test.go
+++ b/internal/control/agents/system_test.go
@@ -160,7 +160,7 @@
 	}
 	result, err := s.memory.Txn(context.Background(), nil, []store.Write{{Key: shard.ConfigKey, Value: []byte("{}")}})
 	is.New(s.t).NoErr(err)
-	next.Revision = result.Revision
+	next.Revision = result.Revision.Number
 	s.settings = next
 	for _, b := range s.balancers {
 		b.service.Configure(next)
--- a/internal/keyvalue/etcd/client.go
+++ b/internal/keyvalue/etcd/client.go
@@ -109,7 +109,7 @@
 
 // Get returns the entry of a key, or nil if the key does not exist, and the revision of the
 // store.
-func (c *Client) Get(ctx context.Context, key string) (entry *store.Entry, revision int64, err error) {
+func (c *Client) Get(ctx context.Context, key string) (entry *store.Entry, revision store.Revision, err error) {
 	defer func() { err = errors.WithMessagef(err, "get %q", key) }()
 	kvs, revision, err := c.read(ctx, &etcdpb.RangeRequest{Key: []byte(key)})
 	if err != nil || len(kvs) == 0 {
@@ -121,7 +121,7 @@
 
 // List returns the entries whose keys begin with prefix, ordered by key, and the revision
 // of the store.
-func (c *Client) List(ctx context.Context, prefix string) (entries []store.Entry, revision int64, err error) {
+func (c *Client) List(ctx context.Context, prefix string) (entries []store.Entry, revision store.Revision, err error) {
 	defer func() { err = errors.WithMessagef(err, "list %q", prefix) }()
 	key, end := prefixRange(prefix)
 	kvs, revision, err := c.read(ctx, &etcdpb.RangeRequest{Key: key, RangeEnd: end})
@@ -133,7 +133,7 @@
 
 // read tries each endpoint at most once, until one is available. A read is safe to repeat.
 func (c *Client) read(ctx context.Context, request *etcdpb.RangeRequest) (
-	kvs []*etcdpb.KeyValue, revision int64, err error,
+	kvs []*etcdpb.KeyValue, revision store.Revision, err error,
 ) {
 	for range c.endpoints {
 		err = c.call(ctx, func(e *endpoint) error {
@@ -141,7 +141,7 @@
 			if err != nil {
 				return err
 			}
-			kvs, revision = response.Msg.GetKvs(), response.Msg.GetHeader().GetRevision()
+			kvs, revision = response.Msg.GetKvs(), c.revision(response.Msg.GetHeader())
 			return nil
 		})
 		if !errors.Is(err, store.ErrUnavailable) {
@@ -167,7 +167,7 @@
 			return err
 		}
 		result.Succeeded = response.Msg.GetSucceeded()
-		result.Revision = response.Msg.GetHeader().GetRevision()
+		result.Revision = c.revision(response.Msg.GetHeader())
 		return nil
 	})
 	return result, err
@@ -184,6 +184,11 @@
 	return err
 }
 
+// revision returns the revision in the header of a response.
+func (c *Client) revision(header *etcdpb.ResponseHeader) store.Revision {
+	return store.Revision{Number: header.GetRevision()}
+}
+
 // newRequest returns a request with the User-Agent header of the client.
 func newRequest[T any](c *Client, message *T) *connect.Request[T] {
 	request := connect.NewRequest(message)
--- a/internal/keyvalue/etcd/lease.go
+++ b/internal/keyvalue/etcd/lease.go
@@ -27,8 +27,9 @@
 	return id, err
 }
 
-// KeepAlive renews a lease once. It returns store.ErrLeaseNotFound if the lease has ended.
-func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) (err error) {
+// KeepAlive renews a lease once, and returns the generation of the store. It returns
+// store.ErrLeaseNotFound if the lease has ended.
+func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) (generation uint64, err error) {
 	defer func() { err = errors.WithMessagef(err, "lease %x keep-alive", int64(id)) }()
 	var ttl int64
 	err = c.call(ctx, func(e *endpoint) error {
@@ -46,14 +47,14 @@
 		if err != nil {
 			return err
 		}
-		ttl = response.GetTTL()
+		ttl, generation = response.GetTTL(), c.revision(response.GetHeader()).Generation
 		return nil
 	})
 	// The server reports a time to live of 0 for a lease that has ended.
 	if err == nil && ttl <= 0 {
-		return store.ErrLeaseNotFound
+		return generation, store.ErrLeaseNotFound
 	}
-	return err
+	return generation, err
 }
 
 // Revoke ends a lease and deletes its keys.
--- a/internal/keyvalue/etcd/watch.go
+++ b/internal/keyvalue/etcd/watch.go
@@ -23,14 +23,15 @@
 // watcher has one stream. A separate task reads the stream, so that a call of Next can be
 // cancelled without losing events.
 type watcher struct {
+	client  *Client
 	tasks   *group.Group
 	results chan watchResult
 }
 
 // Watch opens a watch of the keys that begin with prefix. It delivers the changes since
-// revision, that revision included; revision 0 means from the next change on. Watch returns
-// once the server has created the watch. ctx applies only until then.
-func (c *Client) Watch(ctx context.Context, prefix string, revision int64) (w store.Watcher, err error) {
+// revision, that revision included; the zero revision means from the next change on. Watch
+// returns once the server has created the watch. ctx applies only until then.
+func (c *Client) Watch(ctx context.Context, prefix string, revision store.Revision) (w store.Watcher, err error) {
 	defer func() { err = errors.WithMessagef(err, "watch %q", prefix) }()
 	tasks := group.New(context.WithoutCancel(ctx))
 	cancelStop := context.AfterFunc(ctx, tasks.Stop)
@@ -38,7 +39,7 @@
 	var stream *watchStream
 	err = c.call(ctx, func(e *endpoint) error {
 		stream = e.watch.Watch(tasks.Context())
-		return c.createWatch(tasks.Context(), stream, prefix, max(revision, 0))
+		return c.createWatch(tasks.Context(), stream, prefix, revision.Number)
 	})
 	if err != nil || ctx.Err() != nil {
 		tasks.Stop()
@@ -47,17 +48,17 @@
 		}
 		return nil, err
 	}
-	opened := &watcher{tasks: tasks, results: make(chan watchResult)}
+	opened := &watcher{client: c, tasks: tasks, results: make(chan watchResult)}
 	tasks.Go("watch", func(ctx context.Context) error { return opened.receive(ctx, stream) })
 	return opened, nil
 }
 
 // createWatch asks the server for a watch and blocks until the server has created it.
-func (c *Client) createWatch(ctx context.Context, stream *watchStream, prefix string, revision int64) (err error) {
+func (c *Client) createWatch(ctx context.Context, stream *watchStream, prefix string, number int64) (err error) {
 	stream.RequestHeader().Set("User-Agent", c.userAgent)
 	key, end := prefixRange(prefix)
 	err = stream.Send(&etcdpb.WatchRequest{RequestUnion: &etcdpb.WatchRequest_CreateRequest{
-		CreateRequest: &etcdpb.WatchCreateRequest{Key: key, RangeEnd: end, StartRevision: revision},
+		CreateRequest: &etcdpb.WatchCreateRequest{Key: key, RangeEnd: end, StartRevision: number},
 	}})
 	// Send returns io.EOF if the call has already failed; Receive then returns the error.
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -106,7 +107,7 @@
 				Entry: entryFromKV(e.GetKv()), Deleted: e.GetType() == etcdpb.Event_DELETE,
 			})
 		}
-		batch.Revision = response.GetHeader().GetRevision()
+		batch.Revision = w.client.revision(response.GetHeader())
 		if response.GetFragment() || len(batch.Events) == 0 {
 			continue
 		}
--- a/internal/keyvalue/memory/lease.go
+++ b/internal/keyvalue/memory/lease.go
@@ -40,20 +40,21 @@
 	return s.lastLease, nil
 }
 
-// KeepAlive renews a lease once. It returns store.ErrLeaseNotFound if the lease has ended.
-func (s *Store) KeepAlive(ctx context.Context, id store.LeaseID) (err error) {
+// KeepAlive renews a lease once, and returns the generation of the store. It returns
+// store.ErrLeaseNotFound if the lease has ended.
+func (s *Store) KeepAlive(ctx context.Context, id store.LeaseID) (generation uint64, err error) {
 	if err = ctx.Err(); err != nil {
-		return err
+		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	l := s.leases[id]
 	if l == nil {
-		return errors.WithMessagef(store.ErrLeaseNotFound, "lease %x", int64(id))
+		return s.generation, errors.WithMessagef(store.ErrLeaseNotFound, "lease %x", int64(id))
 	}
 	l.renew(s.now())
-	return nil
+	return s.generation, nil
 }
 
 // Revoke ends a lease and deletes its keys.
--- a/internal/keyvalue/memory/memory.go
+++ b/internal/keyvalue/memory/memory.go
@@ -43,8 +43,10 @@
 	maxHistory int
 
 	// mu guards the fields below.
-	mu       sync.Mutex
-	revision int64
+	mu sync.Mutex
+	// generation counts the restores.
+	generation uint64
+	revision   int64
 	// compacted is the oldest revision from which a watch can start.
 	compacted int64
 	entries   map[string]*store.Entry
@@ -85,9 +87,9 @@
 
 // Get returns the entry of a key, or nil if the key does not exist, and the revision of the
 // store.
-func (s *Store) Get(ctx context.Context, key string) (entry *store.Entry, revision int64, err error) {
+func (s *Store) Get(ctx context.Context, key string) (entry *store.Entry, revision store.Revision, err error) {
 	if err = ctx.Err(); err != nil {
-		return nil, 0, err
+		return nil, revision, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,14 +98,19 @@
 		c := cloneEntry(e)
 		entry = &c
 	}
-	return entry, s.revision, nil
+	return entry, s.currentRevision(), nil
+}
+
+// currentRevision returns the revision of the store. The caller holds mu.
+func (s *Store) currentRevision() store.Revision {
+	return store.Revision{Generation: s.generation, Number: s.revision}
 }
 
 // List returns the entries whose keys begin with prefix, ordered by key, and the revision
 // of the store.
-func (s *Store) List(ctx context.Context, prefix string) (entries []store.Entry, revision int64, err error) {
+func (s *Store) List(ctx context.Context, prefix string) (entries []store.Entry, revision store.Revision, err error) {
 	if err = ctx.Err(); err != nil {
-		return nil, 0, err
+		return nil, revision, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,7 +122,7 @@
 		}
 		entries = append(entries, cloneEntry(s.entries[key]))
 	}
-	return entries, s.revision, nil
+	return entries, s.currentRevision(), nil
 }
 
 // Txn applies all writes if all compares hold, and none otherwise.
@@ -133,7 +140,7 @@
 	s.expire()
 	for _, c := range compares {
 		if s.comparedRevision(c) != c.Revision {
-			return store.TxnResult{Revision: s.revision}, nil
+			return store.TxnResult{Revision: s.currentRevision()}, nil
 		}
 	}
 	for _, w := range writes {
@@ -142,7 +149,7 @@
 		}
 	}
 	s.commit(writes)
-	return store.TxnResult{Succeeded: true, Revision: s.revision}, nil
+	return store.TxnResult{Succeeded: true, Revision: s.currentRevision()}, nil
 }
 
 // Compact removes the events before the given revision, or before the current one if that
--- a/internal/keyvalue/memory/model_test.go
+++ b/internal/keyvalue/memory/model_test.go
@@ -87,10 +87,10 @@
 		m.deleteKey(key)
 		return
 	}
-	if result.Revision <= m.lastRevision {
-		t.Fatalf("transaction has revision %d, want more than %d", result.Revision, m.lastRevision)
+	if result.Revision.Number <= m.lastRevision {
+		t.Fatalf("transaction has revision %d, want more than %d", result.Revision.Number, m.lastRevision)
 	}
-	m.values[key], m.modRevision[key], m.lastRevision = string(write.Value), result.Revision, result.Revision
+	m.values[key], m.modRevision[key], m.lastRevision = string(write.Value), result.Revision.Number, result.Revision.Number
 	delete(m.leases, key)
 	if write.Lease != 0 {
 		m.leases[key] = write.Lease
@@ -109,7 +109,7 @@
 // keepAlive renews a lease, which may have expired or never been granted.
 func (m *model) keepAlive(t *rapid.T) {
 	id := store.LeaseID(rapid.Int64Range(1, 6).Draw(t, "lease"))
-	err := m.store.KeepAlive(context.Background(), id)
+	_, err := m.store.KeepAlive(context.Background(), id)
 	if _, exists := m.deadlines[id]; exists == (err != nil) {
 		t.Fatalf("keep-alive of lease %d: %v", id, err)
 	}
@@ -145,7 +145,7 @@
 	cancel()
 	for {
 		if m.watcher == nil {
-			w, err := m.store.Watch(context.Background(), "a/", m.watchedRevision+1)
+			w, err := m.store.Watch(context.Background(), "a/", store.Revision{Number: m.watchedRevision + 1})
 			if errors.Is(err, store.ErrCompacted) {
 				m.relist(t)
 				continue
@@ -170,7 +170,7 @@
 				delete(m.watchedValues, e.Entry.Key)
 			}
 		}
-		m.watchedRevision = batch.Revision
+		m.watchedRevision = batch.Revision.Number
 	}
 }
 
@@ -180,7 +180,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.watchedValues, m.watchedRevision = map[string]string{}, revision
+	m.watchedValues, m.watchedRevision = map[string]string{}, revision.Number
 	for _, e := range entries {
 		m.watchedValues[e.Key] = string(e.Value)
 	}
--- a/internal/keyvalue/memory/watch.go
+++ b/internal/keyvalue/memory/watch.go
@@ -16,6 +16,8 @@
 type watcher struct {
 	store  *Store
 	prefix string
+	// generation is the generation of the store that the watch began in.
+	generation uint64
 	// nextRevision is the first revision that has not been delivered.
 	nextRevision int64
 	// wake receives a value when there may be events to deliver.
@@ -26,22 +28,22 @@
 }
 
 // Watch opens a watch of the keys that begin with prefix. It delivers the changes since
-// revision, that revision included. Revision 0 means from the next change on.
-func (s *Store) Watch(ctx context.Context, prefix string, revision int64) (w store.Watcher, err error) {
+// revision, that revision included. The zero revision means from the next change on.
+func (s *Store) Watch(ctx context.Context, prefix string, revision store.Revision) (w store.Watcher, err error) {
 	if err = ctx.Err(); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	if revision <= 0 {
-		revision = s.revision + 1
+	if revision == (store.Revision{}) {
+		revision = s.currentRevision().Next()
 	}
-	if revision < s.compacted {
-		return nil, errors.WithMessagef(store.ErrCompacted, "watch from revision %d, history begins at %d", revision, s.compacted)
+	if err = s.checkHistory(revision); err != nil {
+		return nil, err
 	}
 	opened := &watcher{
-		store: s, prefix: prefix, nextRevision: revision, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		store: s, prefix: prefix, generation: revision.Generation, nextRevision: revision.Number, wake: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	s.watchers[opened] = struct{}{}
 	return opened, nil
@@ -83,8 +85,8 @@
 	s := w.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w.nextRevision < s.compacted {
-		return batch, errors.WithMessagef(store.ErrCompacted, "watch at revision %d, history begins at %d", w.nextRevision, s.compacted)
+	if err = s.checkHistory(store.Revision{Generation: w.generation, Number: w.nextRevision}); err != nil {
+		return batch, err
 	}
 	start, _ := slices.BinarySearchFunc(s.history, w.nextRevision, compareRevision)
 	for _, e := range s.history[start:] {
@@ -95,10 +97,22 @@
 	}
 	// A watch that starts at a future revision does not move before that revision.
 	w.nextRevision = max(w.nextRevision, s.revision+1)
-	batch.Revision = s.revision
+	batch.Revision = s.currentRevision()
 	return batch, nil
 }
 
+// checkHistory returns store.ErrCompacted if the history from a revision on is not
+// complete. The caller holds mu.
+func (s *Store) checkHistory(from store.Revision) error {
+	switch {
+	case from.Generation != s.generation:
+		return errors.WithMessagef(store.ErrCompacted, "watch of generation %d, store is of generation %d", from.Generation, s.generation)
+	case from.Number < s.compacted:
+		return errors.WithMessagef(store.ErrCompacted, "watch from revision %d, history begins at %d", from.Number, s.compacted)
+	}
+	return nil
+}
+
 // matches reports whether the watch has yet to deliver an event.
 func (w *watcher) matches(e store.Event) bool {
 	return e.Entry.ModRevision >= w.nextRevision && strings.HasPrefix(e.Entry.Key, w.prefix)
--- a/internal/keyvalue/shard/elect.go
+++ b/internal/keyvalue/shard/elect.go
@@ -38,12 +38,12 @@
 // listAndWatchHolders passes the holder keys and their changes to the loop until the watch
 // fails.
 func (r *Runner) listAndWatchHolders(ctx context.Context) error {
-	return ListAndWatch(ctx, r.config.Store, HolderPrefix, func(entries []store.Entry, revision int64) {
+	return ListAndWatch(ctx, r.config.Store, HolderPrefix, func(entries []store.Entry, revision store.Revision) {
 		r.post(func(time.Time) { r.holdersListed(entries, revision) })
 	}, func(batch store.WatchBatch) {
 		r.post(func(time.Time) {
 			for i := range batch.Events {
-				r.holderChanged(&batch.Events[i], batch.Revision)
+				r.holderChanged(&batch.Events[i], batch.Revision.Number)
 			}
 			r.config.HoldersChanged(maps.Clone(r.holders))
 		})
@@ -51,17 +51,17 @@
 }
 
 // holdersListed applies a full list of the holder keys. A shard without a key is free.
-func (r *Runner) holdersListed(entries []store.Entry, revision int64) {
+func (r *Runner) holdersListed(entries []store.Entry, revision store.Revision) {
 	found := map[int]bool{}
 	for i := range entries {
 		if shard, ok := shardOfKey(entries[i].Key); ok {
 			found[shard] = true
-			r.holderChanged(&store.Event{Entry: entries[i]}, revision)
+			r.holderChanged(&store.Event{Entry: entries[i]}, revision.Number)
 		}
 	}
 	for shard := range Count {
 		if !found[shard] {
-			r.holderChanged(&store.Event{Entry: store.Entry{Key: HolderKey(shard)}, Deleted: true}, revision)
+			r.holderChanged(&store.Event{Entry: store.Entry{Key: HolderKey(shard)}, Deleted: true}, revision.Number)
 		}
 	}
 	r.config.HoldersChanged(maps.Clone(r.holders))
--- a/internal/keyvalue/shard/lease.go
+++ b/internal/keyvalue/shard/lease.go
@@ -105,7 +105,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := r.lease.store.KeepAlive(callCtx, id)
+		_, err := r.lease.store.KeepAlive(callCtx, id)
 		cancel()
 		if !errors.Is(err, store.ErrLeaseNotFound) {
 			// While the store does not answer, the holders continue to process events.
@@ -158,7 +158,7 @@
 // until the watch fails.
 func (r *Runner) listAndWatchBalancers(ctx context.Context) (err error) {
 	names := map[string]bool{}
-	return ListAndWatch(ctx, r.config.Store, BalancerPrefix, func(entries []store.Entry, _ int64) {
+	return ListAndWatch(ctx, r.config.Store, BalancerPrefix, func(entries []store.Entry, _ store.Revision) {
 		clear(names)
 		for _, name := range balancerNames(entries) {
 			names[name] = true
@@ -223,7 +223,7 @@
 // and returns the error.
 func ListAndWatch(
 	ctx context.Context, s store.Store, prefix string,
-	onList func(entries []store.Entry, revision int64), onChange func(batch store.WatchBatch),
+	onList func(entries []store.Entry, revision store.Revision), onChange func(batch store.WatchBatch),
 ) (err error) {
 	defer func() { err = errors.WithMessagef(err, "watch %q", prefix) }()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -233,7 +233,7 @@
 		return err
 	}
 	onList(entries, revision)
-	w, err := s.Watch(ctx, prefix, revision+1)
+	w, err := s.Watch(ctx, prefix, revision.Next())
 	if err != nil {
 		return err
 	}
--- a/internal/keyvalue/shard/register.go
+++ b/internal/keyvalue/shard/register.go
@@ -138,7 +138,7 @@
 	id := r.lease.current()
 	for retryWait := minRetryWait; ; retryWait = min(2*retryWait, maxRegisterRetryWait) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := r.config.Store.KeepAlive(callCtx, id)
+		_, err := r.config.Store.KeepAlive(callCtx, id)
 		cancel()
 		if err == nil {
 			return true
--- a/internal/keyvalue/shard/writer.go
+++ b/internal/keyvalue/shard/writer.go
@@ -62,7 +62,7 @@
 	result, err := s.Txn(callCtx, compares, writes)
 	cancel()
 	if err == nil && result.Succeeded {
-		return PublishConfirmed{Revision: result.Revision}, nil
+		return PublishConfirmed{Revision: result.Revision.Number}, nil
 	}
 	stored, err := readStoredSpecs(ctx, s, shard, fence)
 	if err != nil {
--- a/internal/keyvalue/store/store.go
+++ b/internal/keyvalue/store/store.go
@@ -5,9 +5,15 @@
 // when they expire, and watches on key prefixes. Its revision is a counter of the whole
 // store that increases with every transaction that changes a key. Package etcd is a
 // client of the etcd API, and package memory keeps a store within the process.
+//
+// A service may be restored from a copy. It then loses the latest changes and leases, and
+// gives out their revisions again for others. A Revision therefore carries the generation
+// of the store, which rises with each restore: what was read in one generation says
+// nothing about the next one.
 package store
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/pkg/errors"
@@ -21,7 +27,8 @@
 	// write may have taken effect.
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrCompacted means that the history from the requested revision on is no longer
-	// complete. The caller must list the keys again.
+	// complete, because it was compacted or the store was restored from a copy. The caller
+	// must list the keys again.
 	ErrCompacted = errors.New("store revision compacted")
 	// ErrLeaseNotFound means that the lease has expired or was revoked.
 	ErrLeaseNotFound = errors.New("store lease not found")
@@ -33,9 +40,28 @@
 	ErrRejected = errors.New("store request rejected")
 )
 
-// LeaseID identifies a lease. 0 means no lease.
+// LeaseID identifies a lease. 0 means no lease. After a restore of the store, the id of a
+// lease that was lost may be given to another lease.
 type LeaseID int64
 
+// Revision is a point in the history of the store. The zero value is none.
+type Revision struct {
+	// Generation rises each time the store is restored from a copy.
+	Generation uint64
+	// Number counts the transactions that changed a key. It orders only revisions of one
+	// generation.
+	Number int64
+}
+
+// Compare returns a negative number if r is earlier than other, 0 if they are equal, and
+// a positive number if r is later.
+func (r Revision) Compare(other Revision) int {
+	return cmp.Or(cmp.Compare(r.Generation, other.Generation), cmp.Compare(r.Number, other.Number))
+}
+
+// Next returns the revision after r in the same generation.
+func (r Revision) Next() Revision { return Revision{r.Generation, r.Number + 1} }
+
 // Entry is a key with its value.
 type Entry struct {
 	Key   string
@@ -73,7 +99,7 @@
 	// Succeeded is set when all compares held and the writes were applied.
 	Succeeded bool
 	// Revision is the revision of the store after the transaction.
-	Revision int64
+	Revision Revision
 }
 
 // Event is a change of a key. If Deleted is set, only Key and ModRevision of Entry are valid.
@@ -86,7 +112,7 @@
 type WatchBatch struct {
 	Events []Event
 	// Revision is the revision up to which the watch has delivered all events.
-	Revision int64
+	Revision Revision
 }
 
 // Watcher delivers the events of a watch.
@@ -104,25 +130,27 @@
 type Store interface {
 	// Get returns the entry of a key, or nil if the key does not exist, and the revision
 	// of the store.
-	Get(ctx context.Context, key string) (entry *Entry, revision int64, err error)
+	Get(ctx context.Context, key string) (entry *Entry, revision Revision, err error)
 	// List returns the entries whose keys begin with prefix, ordered by key, and the
 	// revision of the store.
-	List(ctx context.Context, prefix string) (entries []Entry, revision int64, err error)
+	List(ctx context.Context, prefix string) (entries []Entry, revision Revision, err error)
 	// Txn applies all writes if all compares hold, and none otherwise. A transaction may
 	// write a key only once. Txn returns ErrLeaseNotFound if the lease of a write has ended.
 	Txn(ctx context.Context, compares []Compare, writes []Write) (result TxnResult, err error)
 	// Grant returns a new lease that expires ttlSeconds after its last renewal.
 	Grant(ctx context.Context, ttlSeconds int64) (id LeaseID, err error)
-	// KeepAlive renews a lease once. It returns ErrLeaseNotFound if the lease has ended.
-	KeepAlive(ctx context.Context, id LeaseID) (err error)
+	// KeepAlive renews a lease once, and returns the generation of the store. It returns
+	// ErrLeaseNotFound if the lease has ended.
+	KeepAlive(ctx context.Context, id LeaseID) (generation uint64, err error)
 	// Revoke ends a lease and deletes its keys. It returns ErrLeaseNotFound if the lease has
 	// already ended.
 	Revoke(ctx context.Context, id LeaseID) (err error)
 	// Watch opens a watch of the keys that begin with prefix. The watch delivers the changes
-	// from revision on, that revision included. Revision 0 means from the next change on.
-	// If changes since revision are no longer in the history, Watch or the first Next
-	// returns ErrCompacted. ctx applies only until Watch returns.
-	Watch(ctx context.Context, prefix string, revision int64) (w Watcher, err error)
+	// from revision on, that revision included. The zero revision means from the next change
+	// on. If changes since revision are no longer in the history, or the store is no longer
+	// of that generation, Watch or a later Next returns ErrCompacted. ctx applies only until
+	// Watch returns.
+	Watch(ctx context.Context, prefix string, revision Revision) (w Watcher, err error)
 }
 
 // CheckWrites returns an error for writes that every Store rejects: ErrTooLarge for a
--- a/internal/operator/config/config_test.go
+++ b/internal/operator/config/config_test.go
@@ -324,9 +324,9 @@
 	down bool
 }
 
-func (d *lostAnswerStore) Get(ctx context.Context, key string) (*store.Entry, int64, error) {
+func (d *lostAnswerStore) Get(ctx context.Context, key string) (*store.Entry, store.Revision, error) {
 	if d.down {
-		return nil, 0, store.ErrUnavailable
+		return nil, store.Revision{}, store.ErrUnavailable
 	}
 	return d.Store.Get(ctx, key)
 }
--- a/internal/operator/config/model_test.go
+++ b/internal/operator/config/model_test.go
@@ -62,9 +62,9 @@
 	return <-c.result
 }
 
-func (s *scheduledStore) Get(ctx context.Context, key string) (entry *store.Entry, revision int64, err error) {
+func (s *scheduledStore) Get(ctx context.Context, key string) (entry *store.Entry, revision store.Revision, err error) {
 	if failed := s.submit(false, func() { entry, revision, err = s.Store.Get(ctx, key) }); failed != nil {
-		return nil, 0, failed
+		return nil, store.Revision{}, failed
 	}
 	return entry, revision, err
 }
--- a/internal/operator/config/watch.go
+++ b/internal/operator/config/watch.go
@@ -67,7 +67,7 @@
 		}
 		w.report(err)
 		if errors.Is(err, store.ErrCompacted) {
-			w.revision = 0
+			w.revision = store.Revision{}
 		}
 		if opened {
 			attempt = 0
@@ -86,14 +86,14 @@
 	deliver func(*Manifest) error
 	// version is the last version that was delivered.
 	version uint64
-	// revision is the store revision from which to watch, or 0 to read the key first.
-	revision int64
+	// revision is the store revision from which to watch, or zero to read the key first.
+	revision store.Revision
 }
 
 // watchUntilError reads the current manifest if needed, and watches until an error.
 // opened is set if the watch was opened.
 func (w *manifestWatch) watchUntilError(ctx context.Context) (opened bool, err error) {
-	if w.revision == 0 {
+	if w.revision == (store.Revision{}) {
 		m, revision, err := Current(ctx, w.cfg.Store)
 		if err != nil {
 			return false, err
@@ -101,7 +101,7 @@
 		if err = w.skipCorrupt(w.deliverNewer(m)); err != nil {
 			return false, err
 		}
-		w.revision = revision + 1
+		w.revision = revision.Next()
 	}
 	watcher, err := w.cfg.Store.Watch(ctx, CurrentKey, w.revision)
 	if err != nil {
@@ -124,9 +124,9 @@
 			if err = w.skipCorrupt(err); err != nil {
 				return true, err
 			}
-			w.revision = e.Entry.ModRevision + 1
+			w.revision.Number = e.Entry.ModRevision + 1
 		}
-		w.revision = max(w.revision, batch.Revision+1)
+		w.revision.Number = max(w.revision.Number, batch.Revision.Number+1)
 	}
 }
 
--- a/internal/operator/config/write.go
+++ b/internal/operator/config/write.go
@@ -143,7 +143,7 @@
 
 // Current returns the manifest of the current version, or nil if nothing was applied
 // yet, and the revision of the store at the read.
-func Current(ctx context.Context, s store.Store) (m *Manifest, revision int64, err error) {
+func Current(ctx context.Context, s store.Store) (m *Manifest, revision store.Revision, err error) {
 	defer func() { err = errors.WithMessage(err, "read configuration manifest") }()
 	entry, revision, err := s.Get(ctx, CurrentKey)
 	if err != nil || entry == nil {
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -159,7 +159,7 @@
 }
 
 // handleConfigEntries applies the configuration that the store holds, if there is one.
-func (b *Balancer) handleConfigEntries(entries map[string]store.Entry, _ int64) {
+func (b *Balancer) handleConfigEntries(entries map[string]store.Entry, _ store.Revision) {
 	entry, ok := entries[b.config.ConfigKey]
 	if !ok {
 		return
@@ -171,8 +171,8 @@
 
 // handleAgentEntries applies the list of agents that the store holds. Entries that cannot be decoded are logged and
 // skipped.
-func (b *Balancer) handleAgentEntries(entries map[string]store.Entry, revision int64) {
-	list := agentList{revision: revision}
+func (b *Balancer) handleAgentEntries(entries map[string]store.Entry, revision store.Revision) {
+	list := agentList{revision: revision.Number}
 	for key, entry := range entries {
 		e, err := registry.DecodeEntry(entry.Value)
 		if err != nil {
--- a/internal/segment/registry/mirror.go
+++ b/internal/segment/registry/mirror.go
@@ -58,7 +58,7 @@
 	BatchInterval time.Duration
 	// OnChange is called with all entries by key after each full read and each batch of changes, and with the revision
 	// of the store that they are of. Run waits for its return. The map is a copy that OnChange may keep. Must be set.
-	OnChange func(entries map[string]store.Entry, revision int64)
+	OnChange func(entries map[string]store.Entry, revision store.Revision)
 	// OnReachable is called after each response of the store with true, and after each failed call with false. If nil,
 	// it is not called.
 	OnReachable func(reachable bool)
@@ -73,10 +73,12 @@
 	config  MirrorConfig
 	entries map[string]store.Entry
 	// revision is the revision of the last full read or of the last change.
-	revision int64
+	revision store.Revision
 	// storeLost is set while the store does not answer; stateReported is set once its state was first reported.
 	storeLost     bool
 	stateReported bool
+	// generation is the generation of the store in its last response.
+	generation uint64
 }
 
 // NewMirror validates c and returns a mirror that does nothing until Run is called.
@@ -112,7 +114,7 @@
 }
 
 // list replaces the copy by a full read and returns the revision of the store at that read.
-func (m *Mirror) list(ctx context.Context, attempt int) (revision int64, err error) {
+func (m *Mirror) list(ctx context.Context, attempt int) (revision store.Revision, err error) {
 	if attempt < len(firstListTimeouts) {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, firstListTimeouts[attempt])
@@ -120,13 +122,14 @@
 	}
 	entries, revision, err := m.config.Store.List(ctx, m.config.Prefix)
 	if err != nil {
-		return 0, err
+		return revision, err
 	}
 	m.entries = make(map[string]store.Entry, len(entries))
 	for _, e := range entries {
 		m.entries[e.Key] = e
 	}
 	m.revision = revision
+	m.recordGeneration("list", revision)
 	m.reportState(nil)
 	m.config.OnChange(maps.Clone(m.entries), m.revision)
 	return revision, nil
@@ -134,8 +137,8 @@
 
 // watch applies the changes after a revision until the watch fails, for example because the history was compacted.
 // If the store is unavailable, watch waits for its return, so that a full read is made only after changes were missed.
-func (m *Mirror) watch(ctx context.Context, revision int64) (err error) {
-	w, err := m.config.Store.Watch(ctx, m.config.Prefix, revision+1)
+func (m *Mirror) watch(ctx context.Context, revision store.Revision) (err error) {
+	w, err := m.config.Store.Watch(ctx, m.config.Prefix, revision.Next())
 	if err != nil {
 		return err
 	}
@@ -156,6 +159,7 @@
 			return err
 		}
 		attempt = 0
+		m.recordGeneration("watch", batch.Revision)
 		m.reportState(nil)
 		if len(batch.Events) == 0 {
 			continue
@@ -170,7 +174,7 @@
 
 func (m *Mirror) apply(events []store.Event) {
 	for _, e := range events {
-		m.revision = max(m.revision, e.Entry.ModRevision)
+		m.revision.Number = max(m.revision.Number, e.Entry.ModRevision)
 		if e.Deleted {
 			delete(m.entries, e.Entry.Key)
 			continue
@@ -179,6 +183,16 @@
 	}
 }
 
+// recordGeneration logs that the store was restored from a copy since its last response. If the response to a watch
+// shows it, the watch may have missed changes.
+func (m *Mirror) recordGeneration(call string, revision store.Revision) {
+	if m.stateReported && revision.Generation != m.generation {
+		logging.Line(level.Warn(m.config.Logger), "event", "store_restored", "prefix", m.config.Prefix, "call", call,
+			"generation", revision.Generation, "previous", m.generation, "revision", revision.Number, "known_revision", m.revision.Number)
+	}
+	m.generation = revision.Generation
+}
+
 // reportState reports whether the store answers, and logs it if that has changed. If err is nil, the store answers; any
 // other err, also of compacted history, counts as no answer.
 func (m *Mirror) reportState(err error) {
@@ -194,7 +208,8 @@
 		logging.Line(level.Warn(m.config.Logger), "event", "store_lost", "prefix", m.config.Prefix, "err", err)
 		return
 	}
-	logging.Line(level.Info(m.config.Logger), "event", "store_regained", "prefix", m.config.Prefix, "entries", len(m.entries))
+	logging.Line(level.Info(m.config.Logger), "event", "store_regained", "prefix", m.config.Prefix, "entries", len(m.entries),
+		"generation", m.generation, "revision", m.revision.Number)
 }
 
 // sleep blocks for the given time or until ctx ends. If ctx ends first, sleep returns its error.
--- a/internal/segment/registry/registrar.go
+++ b/internal/segment/registry/registrar.go
@@ -125,10 +125,11 @@
 // renew renews the lease. If there is no lease or it has expired, renew obtains a new one and writes the entry.
 func (r *Registrar) renew(ctx context.Context) (err error) {
 	if r.lease != 0 {
-		err = r.config.Store.KeepAlive(ctx, r.lease)
+		_, err = r.config.Store.KeepAlive(ctx, r.lease)
 		if !errors.Is(err, store.ErrLeaseNotFound) {
 			return err
 		}
+		logging.Line(level.Warn(r.config.Logger), "event", "entry_lease_lost", "key", r.config.Entry.Key(), "lease", r.lease)
 		r.lease = 0
 	}
 	lease, err := r.config.Store.Grant(ctx, leaseSeconds)
@@ -162,6 +163,7 @@
 	if !result.Succeeded {
 		return errors.New("agent entry was changed by another process between its read and its write")
 	}
+	logging.Line(level.Info(r.config.Logger), "event", "entry_written", "key", key, "lease", lease, "generation", result.Revision.Generation, "revision", result.Revision.Number)
 	return nil
 }
 
--- a/internal/segment/registry/retry_budget_test.go
+++ b/internal/segment/registry/retry_budget_test.go
@@ -23,15 +23,15 @@
 	compacted bool
 }
 
-func (s *failingStore) List(context.Context, string) ([]store.Entry, int64, error) {
+func (s *failingStore) List(context.Context, string) ([]store.Entry, store.Revision, error) {
 	s.calls.Add(1)
 	if s.compacted {
-		return nil, 1, nil
+		return nil, store.Revision{Number: 1}, nil
 	}
-	return nil, 0, store.ErrUnavailable
+	return nil, store.Revision{}, store.ErrUnavailable
 }
 
-func (s *failingStore) Watch(context.Context, string, int64) (store.Watcher, error) {
+func (s *failingStore) Watch(context.Context, string, store.Revision) (store.Watcher, error) {
 	s.calls.Add(1)
 	return nil, store.ErrCompacted
 }
@@ -68,7 +68,7 @@
 				for range mirrors {
 					m, err := NewMirror(MirrorConfig{
 						Store: s, Prefix: "x/", RetryBudget: retryBudget, Logger: log.NewNopLogger(),
-						OnChange: func(map[string]store.Entry, int64) {},
+						OnChange: func(map[string]store.Entry, store.Revision) {},
 					})
 					is.NoErr(err)
 					tasks.Go("follower", m.Run)
--- a/internal/standin/etcdserver/connection_test.go
+++ b/internal/standin/etcdserver/connection_test.go
@@ -39,7 +39,7 @@
 	})
 	is.NoErr(err)
 	defer client.Close()
-	w, err := client.Watch(ctx, "k", 0)
+	w, err := client.Watch(ctx, "k", store.Revision{})
 	is.NoErr(err)
 	defer w.Close()
 	put(ctx, is, client, "k", "v")
@@ -112,7 +112,7 @@
 	})
 	is.NoErr(err)
 	defer client.Close()
-	w, err := client.Watch(ctx, "k", 0)
+	w, err := client.Watch(ctx, "k", store.Revision{})
 	is.NoErr(err)
 	defer w.Close()
 	// A quiet and healthy watch outlives several pings.
--- a/internal/standin/etcdserver/contract_test.go
+++ b/internal/standin/etcdserver/contract_test.go
@@ -97,12 +97,18 @@
 	}
 }
 
+// renew renews a lease.
+func renew(ctx context.Context, s store.Store, id store.LeaseID) error {
+	_, err := s.KeepAlive(ctx, id)
+	return err
+}
+
 func put(ctx context.Context, is *is.I, s store.Store, key, value string) int64 {
 	is.Helper()
 	result, err := s.Txn(ctx, nil, []store.Write{{Key: key, Value: []byte(value)}})
 	is.NoErr(err)
 	is.True(result.Succeeded)
-	return result.Revision
+	return result.Revision.Number
 }
 
 // Guards against prefixes that include neighbours and against unordered lists.
@@ -118,7 +124,7 @@
 	is.NoErr(err)
 	is.Equal(string(entry.Value), "eins")
 	is.Equal(entry.CreateRevision, first)
-	is.Equal(entry.ModRevision, revision)
+	is.Equal(entry.ModRevision, revision.Number)
 	entries, _, err := s.List(ctx, "a/")
 	is.NoErr(err)
 	is.Equal(len(entries), 2)
@@ -139,18 +145,18 @@
 	is.NoErr(err)
 	is.True(!again.Succeeded)
 	is.Equal(again.Revision, first.Revision)
-	stale := []store.Compare{{Key: "k", Revision: first.Revision}, {Key: "l", Revision: first.Revision - 1}}
+	stale := []store.Compare{{Key: "k", Revision: first.Revision.Number}, {Key: "l", Revision: first.Revision.Number - 1}}
 	again, err = s.Txn(ctx, stale, []store.Write{{Key: "k", Delete: true}})
 	is.NoErr(err)
 	is.True(!again.Succeeded)
-	fresh := []store.Compare{{Key: "k", Revision: first.Revision}, {Key: "m"}}
+	fresh := []store.Compare{{Key: "k", Revision: first.Revision.Number}, {Key: "m"}}
 	done, err := s.Txn(ctx, fresh, []store.Write{{Key: "k", Delete: true}, {Key: "m", Value: []byte("3")}})
 	is.NoErr(err)
 	is.True(done.Succeeded)
 	entries, revision, err := s.List(ctx, "")
 	is.NoErr(err)
 	is.Equal(len(entries), 2)
-	is.Equal(revision, first.Revision+1)
+	is.Equal(revision, first.Revision.Next())
 }
 
 // Guards against errors that callers cannot tell apart.
@@ -164,7 +170,7 @@
 	is.True(errors.Is(err, store.ErrRejected))
 	_, err = s.Txn(ctx, nil, []store.Write{{Key: "k", Lease: 99}})
 	is.True(errors.Is(err, store.ErrLeaseNotFound))
-	is.True(errors.Is(s.KeepAlive(ctx, 99), store.ErrLeaseNotFound))
+	is.True(errors.Is(renew(ctx, s, 99), store.ErrLeaseNotFound))
 	is.True(errors.Is(s.Revoke(ctx, 99), store.ErrLeaseNotFound))
 	_, err = s.Grant(ctx, 0)
 	is.True(errors.Is(err, store.ErrRejected))
@@ -181,12 +187,12 @@
 	})
 	is.NoErr(err)
 	put(ctx, is, s, "freed", "no lease any more")
-	w, err := s.Watch(ctx, "leased", 0)
+	w, err := s.Watch(ctx, "leased", store.Revision{})
 	is.NoErr(err)
 	defer w.Close()
 	for range 3 {
 		time.Sleep(500 * time.Millisecond)
-		is.NoErr(s.KeepAlive(ctx, id))
+		is.NoErr(renew(ctx, s, id))
 	}
 	entry, _, err := s.Get(ctx, "leased")
 	is.NoErr(err)
@@ -194,7 +200,7 @@
 	batch, err := w.Next(ctx)
 	is.NoErr(err)
 	is.True(batch.Events[0].Deleted)
-	is.True(errors.Is(s.KeepAlive(ctx, id), store.ErrLeaseNotFound))
+	is.True(errors.Is(renew(ctx, s, id), store.ErrLeaseNotFound))
 	is.NoErr(s.Revoke(ctx, long))
 	entries, _, err := s.List(ctx, "")
 	is.NoErr(err)
@@ -206,7 +212,7 @@
 func testWatch(ctx context.Context, is *is.I, s store.Store, _ *memory.Store) {
 	first := put(ctx, is, s, "w/1", "a")
 	put(ctx, is, s, "v/1", "foreign")
-	w, err := s.Watch(ctx, "w/", first)
+	w, err := s.Watch(ctx, "w/", store.Revision{Number: first})
 	is.NoErr(err)
 	defer w.Close()
 	put(ctx, is, s, "w/1", "b")
@@ -232,7 +238,7 @@
 	is.Equal(len(batch.Events), 2)
 	is.Equal(batch.Revision, last.Revision)
 	is.True(batch.Events[0].Deleted)
-	is.Equal(batch.Events[0].Entry.ModRevision, last.Revision)
+	is.Equal(batch.Events[0].Entry.ModRevision, last.Revision.Number)
 	is.Equal(string(batch.Events[1].Entry.Value), "c")
 	w.Close()
 	_, err = w.Next(ctx)
@@ -243,12 +249,12 @@
 // against one that ends although it missed nothing.
 func testCompaction(ctx context.Context, is *is.I, s store.Store, m *memory.Store) {
 	first := put(ctx, is, s, "c", "1")
-	current, err := s.Watch(ctx, "c", 0)
+	current, err := s.Watch(ctx, "c", store.Revision{})
 	is.NoErr(err)
 	defer current.Close()
 	put(ctx, is, s, "d", "1")
 	m.Compact(put(ctx, is, s, "d", "2"))
-	past, err := s.Watch(ctx, "c", first)
+	past, err := s.Watch(ctx, "c", store.Revision{Number: first})
 	if err == nil {
 		defer past.Close()
 		_, err = past.Next(ctx)
@@ -268,6 +274,6 @@
 	is.True(errors.Is(err, context.Canceled))
 	_, err = s.Txn(ended, nil, []store.Write{{Key: "k"}})
 	is.True(errors.Is(err, context.Canceled))
-	_, err = s.Watch(ended, "k", 0)
+	_, err = s.Watch(ended, "k", store.Revision{})
 	is.True(errors.Is(err, context.Canceled))
 }
--- a/internal/standin/etcdserver/faults.go
+++ b/internal/standin/etcdserver/faults.go
@@ -76,6 +76,17 @@
 	return f.memory.Revoke(ctx, entry.Lease)
 }
 
+// Restore returns the store to a snapshot and ends all watches, as a service does that was
+// restored from a copy.
+func (f *Faults) Restore(c *memory.Snapshot) {
+	f.memory.Restore(c)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for w := range f.waiting {
+		w.cancel()
+	}
+}
+
 // Calls returns the number of calls by kind. A watch counts once, when it is opened.
 func (f *Faults) Calls() map[string]int64 {
 	f.mu.Lock()
@@ -133,16 +144,16 @@
 
 var _ store.Store = (*faulty)(nil)
 
-func (s *faulty) Get(ctx context.Context, key string) (entry *store.Entry, revision int64, err error) {
+func (s *faulty) Get(ctx context.Context, key string) (entry *store.Entry, revision store.Revision, err error) {
 	if err = s.faults.begin(s.client, "range"); err != nil {
-		return nil, 0, err
+		return nil, revision, err
 	}
 	return s.faults.memory.Get(ctx, key)
 }
 
-func (s *faulty) List(ctx context.Context, prefix string) (entries []store.Entry, revision int64, err error) {
+func (s *faulty) List(ctx context.Context, prefix string) (entries []store.Entry, revision store.Revision, err error) {
 	if err = s.faults.begin(s.client, "range"); err != nil {
-		return nil, 0, err
+		return nil, revision, err
 	}
 	return s.faults.memory.List(ctx, prefix)
 }
@@ -171,9 +182,9 @@
 	return id, ctx.Err()
 }
 
-func (s *faulty) KeepAlive(ctx context.Context, id store.LeaseID) (err error) {
+func (s *faulty) KeepAlive(ctx context.Context, id store.LeaseID) (generation uint64, err error) {
 	if err = s.faults.begin(s.client, "lease_keep_alive"); err != nil {
-		return err
+		return 0, err
 	}
 	return s.faults.memory.KeepAlive(ctx, id)
 }
@@ -189,7 +200,7 @@
 	return ctx.Err()
 }
 
-func (s *faulty) Watch(ctx context.Context, prefix string, revision int64) (w store.Watcher, err error) {
+func (s *faulty) Watch(ctx context.Context, prefix string, revision store.Revision) (w store.Watcher, err error) {
 	if err = s.faults.begin(s.client, "watch"); err != nil {
 		return nil, err
 	}
--- a/internal/standin/etcdserver/faults_test.go
+++ b/internal/standin/etcdserver/faults_test.go
@@ -21,7 +21,7 @@
 	defer cancel()
 	faults, address := serve(t)
 	a, b := dial(t, "a", address), dial(t, "b", address)
-	watch, err := a.Watch(ctx, "k", 0)
+	watch, err := a.Watch(ctx, "k", store.Revision{})
 	is.NoErr(err)
 	defer watch.Close()
 
@@ -34,9 +34,9 @@
 	is.NoErr(err)
 
 	faults.Set(etcdserver.Settings{Down: true})
-	_, err = b.Watch(ctx, "k", 0)
+	_, err = b.Watch(ctx, "k", store.Revision{})
 	is.True(errors.Is(err, store.ErrUnavailable))
-	is.True(errors.Is(b.KeepAlive(ctx, 1), store.ErrUnavailable))
+	is.True(errors.Is(renew(ctx, b, 1), store.ErrUnavailable))
 
 	faults.Set(etcdserver.Settings{LoseAnswers: 1})
 	write := []store.Write{{Key: "k", Value: []byte("v")}}
@@ -58,7 +58,7 @@
 	_, err = a.Txn(ctx, nil, []store.Write{{Key: "k", Lease: id}})
 	is.NoErr(err)
 	is.NoErr(faults.Lapse(ctx, "k"))
-	is.True(errors.Is(a.KeepAlive(ctx, id), store.ErrLeaseNotFound))
+	is.True(errors.Is(renew(ctx, a, id), store.ErrLeaseNotFound))
 	is.Equal(faults.Calls(), map[string]int64{
 		"range": 4, "txn": 2, "watch": 2, "lease_grant": 1, "lease_keep_alive": 2,
 	})
--- a/internal/standin/etcdserver/lease.go
+++ b/internal/standin/etcdserver/lease.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, statusError(err)
 	}
-	return connect.NewResponse(&etcdpb.LeaseGrantResponse{Header: header(0), ID: int64(id), TTL: ttl}), nil
+	return connect.NewResponse(&etcdpb.LeaseGrantResponse{Header: header(s.faults.memory.Revision()), ID: int64(id), TTL: ttl}), nil
 }
 
 func (s *lease) LeaseRevoke(ctx context.Context, request *connect.Request[etcdpb.LeaseRevokeRequest]) (
@@ -37,7 +37,7 @@
 	if err = s.faults.Store(clientName(request.Header())).Revoke(ctx, id); err != nil {
 		return nil, statusError(err)
 	}
-	return connect.NewResponse(&etcdpb.LeaseRevokeResponse{Header: header(0)}), nil
+	return connect.NewResponse(&etcdpb.LeaseRevokeResponse{Header: header(s.faults.memory.Revision())}), nil
 }
 
 func (s *lease) LeaseKeepAlive(ctx context.Context,
@@ -53,9 +53,9 @@
 			return err
 		}
 		id := store.LeaseID(request.GetID())
-		response := &etcdpb.LeaseKeepAliveResponse{Header: header(0), ID: request.GetID()}
+		response := &etcdpb.LeaseKeepAliveResponse{Header: header(s.faults.memory.Revision()), ID: request.GetID()}
 		// The published service tells of a lost lease by a time to live of 0.
-		if err = backing.KeepAlive(ctx, id); err == nil {
+		if _, err = backing.KeepAlive(ctx, id); err == nil {
 			response.TTL = s.faults.memory.TTL(id)
 		} else if !errors.Is(err, store.ErrLeaseNotFound) {
 			return statusError(err)
--- a/internal/standin/etcdserver/server.go
+++ b/internal/standin/etcdserver/server.go
@@ -110,8 +110,9 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.Errorf("stand-in does not serve %s", what))
 }
 
-func header(revision int64) *etcdpb.ResponseHeader {
-	return &etcdpb.ResponseHeader{ClusterId: 1, MemberId: 1, Revision: revision, RaftTerm: 1}
+// header returns the header of a response. A restored cluster has another id.
+func header(revision store.Revision) *etcdpb.ResponseHeader {
+	return &etcdpb.ResponseHeader{ClusterId: 1 + revision.Generation, MemberId: 1, Revision: revision.Number, RaftTerm: 1}
 }
 
 // keyRange is a range of keys of the published protocol.
--- a/internal/standin/etcdserver/watch.go
+++ b/internal/standin/etcdserver/watch.go
@@ -20,6 +20,8 @@
 type watchStream struct {
 	*connect.BidiStream[etcdpb.WatchRequest, etcdpb.WatchResponse]
 	backing store.Store
+	// current returns the revision of the store.
+	current func() store.Revision
 	tasks   *group.Group
 
 	mu     sync.Mutex
@@ -31,7 +33,7 @@
 	stream *connect.BidiStream[etcdpb.WatchRequest, etcdpb.WatchResponse],
 ) (err error) {
 	w := &watchStream{
-		BidiStream: stream, backing: s.faults.Store(clientName(stream.RequestHeader())),
+		BidiStream: stream, backing: s.faults.Store(clientName(stream.RequestHeader())), current: s.faults.memory.Revision,
 		tasks: group.New(ctx), cancel: map[int64]context.CancelFunc{},
 	}
 	requests := make(chan *etcdpb.WatchRequest)
@@ -94,18 +96,23 @@
 	w.cancel[id] = stop
 	w.mu.Unlock()
 	r := keyRange{request.GetKey(), request.GetRangeEnd()}
-	inner, err := w.backing.Watch(ctx, r.prefix(), request.GetStartRevision())
+	// The protocol names no generation: a server takes any start revision for one of its own.
+	start := store.Revision{}
+	if number := request.GetStartRevision(); number > 0 {
+		start = store.Revision{Generation: w.current().Generation, Number: number}
+	}
+	inner, err := w.backing.Watch(ctx, r.prefix(), start)
 	if err != nil && !errors.Is(err, store.ErrCompacted) {
 		return err
 	}
-	if sent := w.send(&etcdpb.WatchResponse{Header: header(0), WatchId: id, Created: true}); sent != nil {
+	if sent := w.send(&etcdpb.WatchResponse{Header: header(w.current()), WatchId: id, Created: true}); sent != nil {
 		return sent
 	}
 	if err == nil {
 		defer inner.Close()
 		err = w.forward(ctx, id, r, inner)
 	}
-	reason := &etcdpb.WatchResponse{Header: header(0), WatchId: id, Canceled: true}
+	reason := &etcdpb.WatchResponse{Header: header(w.current()), WatchId: id, Canceled: true}
 	switch {
 	case errors.Is(err, store.ErrCompacted):
 		reason.CompactRevision = max(1, request.GetStartRevision()+1)
