registry: Read all entries again after a watch has ended

Cause: after a restore the store gives out revisions again, and a watch that resumes after such a revision is accepted. All that was written between the copy and that revision was missed. Class: a revision was used as a point of the history although it is one only within a generation of the store.

A watch is now bound to the generation of the list that it follows and ends with ErrCompacted in any other. A mirror that lost its watch reads all entries again, which answers at once, where a resumed watch waits for a change. The mirror of the configuration, whose watches are held for 1 s, ends an outdated watch of the agents, which is held for 10 s.

--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -91,14 +91,16 @@
 // startMirrors begins to copy the configuration and the list of agents from the store.
 func (b *Balancer) startMirrors(ctx context.Context) (mirrors *group.Group, err error) {
 	retries := registry.NewRetryBudget()
-	configMirror, err := registry.NewMirror(registry.MirrorConfig{
-		Store: b.config.Store, Prefix: b.config.ConfigKey, BatchInterval: configBatchInterval, OnChange: b.handleConfigEntries, OnReachable: b.handleStoreReachable, RetryBudget: retries, Logger: b.config.Logger,
+	agentsMirror, err := registry.NewMirror(registry.MirrorConfig{
+		Store: b.config.Store, Prefix: registry.KeyPrefix, BatchInterval: agentsBatchInterval, OnChange: b.handleAgentEntries, RetryBudget: retries, Logger: b.config.Logger,
 	})
 	if err != nil {
 		return nil, err
 	}
-	agentsMirror, err := registry.NewMirror(registry.MirrorConfig{
-		Store: b.config.Store, Prefix: registry.KeyPrefix, BatchInterval: agentsBatchInterval, OnChange: b.handleAgentEntries, RetryBudget: retries, Logger: b.config.Logger,
+	// The store holds watches of the configuration for a shorter time, so that they show a restore first.
+	configMirror, err := registry.NewMirror(registry.MirrorConfig{
+		Store: b.config.Store, Prefix: b.config.ConfigKey, BatchInterval: configBatchInterval, OnChange: b.handleConfigEntries, OnReachable: b.handleStoreReachable,
+		OnGeneration: agentsMirror.Refresh, RetryBudget: retries, Logger: b.config.Logger,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/segment/registry/mirror.go
+++ b/internal/segment/registry/mirror.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -62,6 +63,9 @@
 	// OnReachable is called after each response of the store with true, and after each failed call with false. If nil,
 	// it is not called.
 	OnReachable func(reachable bool)
+	// OnGeneration is called after each response of the store with the generation of the store. If nil, it is not
+	// called.
+	OnGeneration func(generation uint64)
 	// RetryBudget limits the retries of the whole process. Must be set.
 	RetryBudget *backoff.Budget
 	// Logger receives a line when the store is lost and when it is regained. Must be set.
@@ -77,8 +81,13 @@
 	// storeLost is set while the store does not answer; stateReported is set once its state was first reported.
 	storeLost     bool
 	stateReported bool
-	// generation is the generation of the store in its last response.
-	generation uint64
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// cancelWatch ends the watch that is open, and is nil if there is none. watchedGeneration is the generation of the
+	// store that the watch is of.
+	cancelWatch       context.CancelFunc
+	watchedGeneration uint64
 }
 
 // NewMirror validates c and returns a mirror that does nothing until Run is called.
@@ -89,7 +98,18 @@
 	return &Mirror{config: c}, nil
 }
 
-// Run keeps the copy up to date until ctx ends, and then returns nil. It retries all errors of the store.
+// Refresh makes Run read all entries again if its watch is of an earlier generation of the store. It does not block and
+// is safe for concurrent use.
+func (m *Mirror) Refresh(generation uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cancelWatch != nil && m.watchedGeneration < generation {
+		m.cancelWatch()
+	}
+}
+
+// Run keeps the copy up to date until ctx ends, and then returns nil. It retries all errors of the store. After an error
+// of a watch it reads all entries again, because the store may have been restored meanwhile.
 func (m *Mirror) Run(ctx context.Context) (err error) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		revision, err := m.list(ctx, attempt)
@@ -128,38 +148,36 @@
 	for _, e := range entries {
 		m.entries[e.Key] = e
 	}
+	if m.stateReported && revision.Generation != m.revision.Generation {
+		logging.Line(level.Warn(m.config.Logger), "event", "store_restored", "prefix", m.config.Prefix, "generation", revision.Generation,
+			"previous", m.revision.Generation, "revision", revision.Number, "previous_revision", m.revision.Number)
+	}
 	m.revision = revision
-	m.recordGeneration("list", revision)
 	m.reportState(nil)
 	m.config.OnChange(maps.Clone(m.entries), m.revision)
 	return revision, nil
 }
 
-// watch applies the changes after a revision until the watch fails, for example because the history was compacted.
-// If the store is unavailable, watch waits for its return, so that a full read is made only after changes were missed.
+// watch applies the changes after a revision until the watch fails, for example because the history was compacted or the
+// store is unavailable.
 func (m *Mirror) watch(ctx context.Context, revision store.Revision) (err error) {
 	w, err := m.config.Store.Watch(ctx, m.config.Prefix, revision.Next())
 	if err != nil {
 		return err
 	}
 	defer w.Close()
-	for attempt := 0; ; {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m.setWatch(cancel, revision.Generation)
+	defer m.setWatch(nil, 0)
+	for {
 		batch, err := w.Next(ctx)
 		switch {
 		case ctx.Err() != nil:
-			return ctx.Err()
-		case errors.Is(err, store.ErrUnavailable):
-			m.reportState(err)
-			if err = waitForRetry(ctx, m.config.RetryBudget, attempt); err != nil {
-				return err
-			}
-			attempt++
-			continue
+			return errors.WithMessage(store.ErrCompacted, "watch was ended by Refresh")
 		case err != nil:
 			return err
 		}
-		attempt = 0
-		m.recordGeneration("watch", batch.Revision)
 		m.reportState(nil)
 		if len(batch.Events) == 0 {
 			continue
@@ -183,14 +201,11 @@
 	}
 }
 
-// recordGeneration logs that the store was restored from a copy since its last response. If the response to a watch
-// shows it, the watch may have missed changes.
-func (m *Mirror) recordGeneration(call string, revision store.Revision) {
-	if m.stateReported && revision.Generation != m.generation {
-		logging.Line(level.Warn(m.config.Logger), "event", "store_restored", "prefix", m.config.Prefix, "call", call,
-			"generation", revision.Generation, "previous", m.generation, "revision", revision.Number, "known_revision", m.revision.Number)
-	}
-	m.generation = revision.Generation
+// setWatch records the open watch, which cancel ends, and its generation.
+func (m *Mirror) setWatch(cancel context.CancelFunc, generation uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cancelWatch, m.watchedGeneration = cancel, generation
 }
 
 // reportState reports whether the store answers, and logs it if that has changed. If err is nil, the store answers; any
@@ -200,6 +215,9 @@
 	if m.config.OnReachable != nil {
 		m.config.OnReachable(!lost)
 	}
+	if m.config.OnGeneration != nil && !lost {
+		m.config.OnGeneration(m.revision.Generation)
+	}
 	if lost == m.storeLost && m.stateReported {
 		return
 	}
@@ -209,7 +227,7 @@
 		return
 	}
 	logging.Line(level.Info(m.config.Logger), "event", "store_regained", "prefix", m.config.Prefix, "entries", len(m.entries),
-		"generation", m.generation, "revision", m.revision.Number)
+		"generation", m.revision.Generation, "revision", m.revision.Number)
 }
 
 // sleep blocks for the given time or until ctx ends. If ctx ends first, sleep returns its error.
