balancer, peers: Order lists of agents by generation and revision

After a restore every balancer rejected the lists that it read as outdated until the store's revision had passed the old one: agents that left stayed listed, lost entries were not noticed, so that they came back only with the agents' renewals, and the list counted as complete all the while.

Lists, digests and views now carry the generation; a list of a later one is newer, whatever its revision.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -104,8 +104,8 @@
 	list agentList
 	// watching is set while this balancer watches the store.
 	watching bool
-	// storeDown is set while the store is unreachable, and storeReturnedAt is when it became reachable again; it is
-	// zero if it has been reachable since the balancer began to watch it.
+	// storeDown is set while the store is unreachable, and storeReturnedAt is when it became reachable again or was
+	// found to be restored; it is zero if neither has happened since the balancer began to watch it.
 	storeDown       bool
 	storeReturnedAt time.Time
 
@@ -280,7 +280,8 @@
 	m.Gauge("flows").Update(int64(b.core.FlowCount()))
 	m.Gauge("agents.answering").Update(int64(b.core.AnsweringCount(now)))
 	m.Gauge("agents.known").Update(int64(len(b.core.Agents())))
-	m.Gauge("agents.list_revision").Update(b.list.revision)
+	m.Gauge("agents.list_revision").Update(b.list.revision.Number)
+	m.Gauge("store.generation").Update(int64(b.list.revision.Generation))
 	m.Gauge("store.watching").Update(boolGauge(b.watching))
 	m.Gauge("config.version").Update(int64(b.core.Routes().Version()))
 	b.logReadiness(now, b.isReady(now))
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -57,7 +57,7 @@
 	case message.Digest:
 		b.peers.HandleDigest(now, from, m)
 		b.requestNewerView(from, m.ConfigVersion)
-		if _, reachable := b.storeAge(now); !reachable && m.ListRevision > b.list.revision {
+		if _, reachable := b.storeAge(now); !reachable && m.ListRevision.Compare(b.list.revision) > 0 {
 			b.requestView(from)
 		}
 		b.core.SetAgentListComplete(b.agentsComplete(now))
@@ -176,7 +176,7 @@
 	unlisted := make(map[netip.Addr]bool)
 	_, storeReachable := b.storeAge(time.Now())
 	for _, address := range agents {
-		unlisted[address] = storeReachable && b.list.revision > 0 && !b.core.IsListed(address)
+		unlisted[address] = storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(address)
 	}
 	b.mu.Unlock()
 	for _, address := range agents {
--- a/internal/segment/balancer/view.go
+++ b/internal/segment/balancer/view.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/segment/datapathpb"
 	"agateramp/internal/segment/message"
@@ -40,12 +41,14 @@
 	routes := b.core.Routes()
 	view := &datapathpb.GetViewResponse{
 		ConfigVersion: routes.Version(), Agents: message.EncodeAddresses(b.core.AnsweringAgents(time.Now())),
-		Balancers: message.EncodeAddresses(b.peers.Addresses()), ListRevision: uint64(b.list.revision),
+		Balancers: message.EncodeAddresses(b.peers.Addresses()), ListRevision: uint64(b.list.revision.Number),
+		ListGeneration: b.list.revision.Generation,
 	}
 	if routes.Version() > r.Msg.GetConfigVersion() {
 		view.Config = routes.Raw()
 	}
-	if view.ListRevision > r.Msg.GetListRevision() {
+	known := store.Revision{Generation: r.Msg.GetListGeneration(), Number: int64(r.Msg.GetListRevision())}
+	if b.list.revision.Compare(known) > 0 {
 		view.ListedAgents = encodeList(b.list)
 	}
 	return connect.NewResponse(view), nil
@@ -128,11 +131,13 @@
 // readView reads the view of one balancer and merges it into this balancer's knowledge.
 func (b *Balancer) readView(ctx context.Context, client *http.Client, target netip.Addr) {
 	b.mu.Lock()
-	version, listRevision := b.core.Routes().Version(), uint64(b.list.revision)
+	version, known := b.core.Routes().Version(), b.list.revision
 	b.mu.Unlock()
 	baseURL := "http://" + netip.AddrPortFrom(target, b.config.PeerPort).String()
 	response, err := datapathpb.NewViewServiceClient(client, baseURL).GetView(ctx,
-		connect.NewRequest(&datapathpb.GetViewRequest{ConfigVersion: version, ListRevision: listRevision}))
+		connect.NewRequest(&datapathpb.GetViewRequest{
+			ConfigVersion: version, ListRevision: uint64(known.Number), ListGeneration: known.Generation,
+		}))
 	if err != nil {
 		b.decisions.Log(time.Now(), "view_not_read", "", "balancer", target, "err", err)
 		return
@@ -141,8 +146,8 @@
 	if len(view.GetConfig()) > 0 {
 		b.applyConfig(view.GetConfig(), target.String())
 	}
-	if view.GetListRevision() > listRevision {
-		b.applyList(decodeList(view), target.String())
+	if list := decodeList(view); list.revision.Compare(known) > 0 {
+		b.applyList(list, target.String())
 	}
 	now := time.Now()
 	agents := message.DecodeAddresses(view.GetAgents())
@@ -164,7 +169,7 @@
 
 // decodeList returns the list of agents in a view. It skips agents without a valid address.
 func decodeList(view *datapathpb.GetViewResponse) (list agentList) {
-	list.revision = int64(view.GetListRevision())
+	list.revision = store.Revision{Generation: view.GetListGeneration(), Number: int64(view.GetListRevision())}
 	for _, a := range view.GetListedAgents() {
 		if address, ok := netip.AddrFromSlice(a.GetAddress()); ok {
 			list.agents = append(list.agents, listedAgent{address: address, revision: int64(a.GetRevision())})
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -37,8 +37,8 @@
 type agentList struct {
 	// agents are sorted by address. They are nil before the first read.
 	agents []listedAgent
-	// revision is the revision of the store that the list is of, and 0 before the first read.
-	revision int64
+	// revision is the revision of the store that the list is of, and zero before the first read.
+	revision store.Revision
 }
 
 // addresses returns the addresses of the agents.
@@ -121,7 +121,7 @@
 		b.watching, b.storeDown, b.storeReturnedAt = watching, false, time.Time{}
 		b.peers.SetWatching(watching)
 		logging.Line(level.Info(b.config.Logger), "event", "store_watch_changed", "self", b.config.Address, "watching", watching,
-			"balancers_known", len(b.peers.Addresses()), "list_revision", b.list.revision, "config_version", b.core.Routes().Version())
+			"balancers_known", len(b.peers.Addresses()), "list_revision", b.list.revision.Number, "config_version", b.core.Routes().Version())
 	}
 	return watching
 }
@@ -144,7 +144,7 @@
 // the watchers. b.mu must be held.
 func (b *Balancer) agentsComplete(now time.Time) bool {
 	switch {
-	case b.list.revision == 0:
+	case b.list.revision.Number == 0:
 		return false
 	case !b.watching:
 		return b.peers.ListIsComplete(now, b.list.revision)
@@ -174,7 +174,7 @@
 // handleAgentEntries applies the list of agents that the store holds. Entries that cannot be decoded are logged and
 // skipped.
 func (b *Balancer) handleAgentEntries(entries map[string]store.Entry, revision store.Revision) {
-	list := agentList{revision: revision.Number}
+	list := agentList{revision: revision}
 	for key, entry := range entries {
 		e, err := registry.DecodeEntry(entry.Value)
 		if err != nil {
@@ -197,22 +197,28 @@
 }
 
 // applyList replaces the list of agents unless the current one is of a later revision of the store. It sends a Hello to
-// the agents whose entries are new: they have started. The source is named in the log.
+// the agents whose entries are new: they have started. The first list after a restore of the store may lack agents that
+// run. The source is named in the log.
 func (b *Balancer) applyList(list agentList, source string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	if list.revision < b.list.revision {
-		b.decisions.Log(now, "agents_list_outdated", "", "source", source, "revision", list.revision, "current", b.list.revision)
+	if list.revision.Compare(b.list.revision) < 0 {
+		b.decisions.Log(now, "agents_list_outdated", "", "source", source, "generation", list.revision.Generation,
+			"revision", list.revision.Number, "current", b.list.revision.Number)
 		return
 	}
+	if b.list.revision.Number != 0 && list.revision.Generation != b.list.revision.Generation {
+		b.storeReturnedAt = now
+	}
 	known, listed := b.list.revisions(), list.revisions()
 	b.list = list
 	b.core.SetListedAgents(now, list.addresses())
 	b.core.SetAgentListComplete(b.agentsComplete(now))
-	logging.Line(level.Info(b.config.Logger), "event", "agents_listed", "count", len(listed), "revision", list.revision, "source", source)
+	logging.Line(level.Info(b.config.Logger), "event", "agents_listed", "count", len(listed), "generation", list.revision.Generation,
+		"revision", list.revision.Number, "source", source)
 	for address, revision := range listed {
-		if revision > known[address] {
+		if revision != known[address] {
 			b.sendMessage(address, message.Hello{})
 		}
 	}
--- a/internal/segment/balancer/watch_test.go
+++ b/internal/segment/balancer/watch_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
 	"agateramp/internal/segment/dispatch"
@@ -37,7 +38,7 @@
 
 // testList returns a list with the agents 127.0.1.N.
 func testList(revision int64, agents ...byte) (list agentList) {
-	list.revision = revision
+	list.revision = store.Revision{Number: revision}
 	for _, n := range agents {
 		list.agents = append(list.agents, listedAgent{address: netip.AddrFrom4([4]byte{127, 0, 1, n}), revision: revision})
 	}
@@ -84,11 +85,11 @@
 	b.applyList(testList(20, 1, 2), "127.0.0.2")
 	now := time.Now()
 	is.Equal(b.agentsComplete(now), false) // no digest
-	digest := message.Digest{Watching: true, ListRevision: 20, ListComplete: true}
+	digest := message.Digest{Watching: true, ListRevision: store.Revision{Number: 20}, ListComplete: true}
 	b.peers.HandleDigest(now, netip.MustParseAddr("127.0.0.2"), digest)
 	is.True(b.agentsComplete(now))
 	is.Equal(b.agentsComplete(now.Add(2*time.Second)), false) // the digest is old
-	digest.ListRevision = 21
+	digest.ListRevision = store.Revision{Number: 21}
 	now = now.Add(time.Second)
 	b.peers.HandleDigest(now, netip.MustParseAddr("127.0.0.2"), digest)
 	is.Equal(b.agentsComplete(now), false) // there has been a newer list for a second
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"agateramp/internal/core/flow"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/segment/datapathpb"
 	"agateramp/internal/segment/packet"
 )
@@ -92,9 +93,10 @@
 	ConfigVersion uint64
 	// Agents is a hash of the addresses of the agents that answer the sender.
 	Agents uint64
-	// ListRevision is the revision of the sender's copy of the store's list of agents; 0 means that it has none.
+	// ListRevision is the revision of the sender's copy of the store's list of agents; the zero value means that it has
+	// none.
 	// ListComplete is set while that list holds every agent that can be reached.
-	ListRevision int64
+	ListRevision store.Revision
 	ListComplete bool
 	// Watching is set while the sender watches the store itself. StoreAge is then the time since the last response of
 	// the store, or UnknownAge.
@@ -204,15 +206,16 @@
 
 func encodeDigest(m Digest) *datapathpb.Digest {
 	return &datapathpb.Digest{
-		ConfigVersion: m.ConfigVersion, Agents: m.Agents, ListRevision: uint64(m.ListRevision), ListComplete: m.ListComplete,
+		ConfigVersion: m.ConfigVersion, Agents: m.Agents, ListRevision: uint64(m.ListRevision.Number), ListGeneration: m.ListRevision.Generation, ListComplete: m.ListComplete,
 		Watching: m.Watching, StoreAgeMs: uint32(min(m.StoreAge, UnknownAge).Milliseconds()), CpuPermille: uint32(m.CPUPermille),
 	}
 }
 
 func decodeDigest(pb *datapathpb.Digest) Digest {
 	return Digest{
-		ConfigVersion: pb.GetConfigVersion(), Agents: pb.GetAgents(), ListRevision: int64(pb.GetListRevision()), ListComplete: pb.GetListComplete(),
-		Watching: pb.GetWatching(), StoreAge: time.Duration(pb.GetStoreAgeMs()) * time.Millisecond, CPUPermille: int(pb.GetCpuPermille()),
+		ConfigVersion: pb.GetConfigVersion(), Agents: pb.GetAgents(), ListComplete: pb.GetListComplete(),
+		ListRevision: store.Revision{Generation: pb.GetListGeneration(), Number: int64(pb.GetListRevision())},
+		Watching:     pb.GetWatching(), StoreAge: time.Duration(pb.GetStoreAgeMs()) * time.Millisecond, CPUPermille: int(pb.GetCpuPermille()),
 	}
 }
 
--- a/internal/segment/message/message_test.go
+++ b/internal/segment/message/message_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"agateramp/internal/core/flow"
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/segment/packet"
 )
 
@@ -25,7 +26,7 @@
 		Accepted{Flow: key, Sequence: 0xfffffffe, Handshake: true, Load: load},
 		Returned{Reason: packet.ReturnBusy, Packet: []byte{1, 2, 3}, Load: load},
 		Digest{ConfigVersion: 3, Agents: 1 << 63},
-		Digest{ListRevision: 1 << 40, ListComplete: true, Watching: true, StoreAge: 250 * time.Millisecond, CPUPermille: 88},
+		Digest{ListRevision: store.Revision{Generation: 3, Number: 1 << 40}, ListComplete: true, Watching: true, StoreAge: 250 * time.Millisecond, CPUPermille: 88},
 		Digest{Watching: true, StoreAge: UnknownAge},
 		Lookup{Flows: []flow.Key{key, other}},
 		Lookup{Flows: []flow.Key{key, other}, Acknowledgements: []uint32{0, 1 << 31}},
--- a/internal/segment/peers/peers.go
+++ b/internal/segment/peers/peers.go
@@ -21,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/segment/message"
 )
 
@@ -221,18 +222,28 @@
 // by the digests of the watchers: one of them with current data reports that its list
 // is, and none has had a newer one for longer than maxListLag. The list changes all the
 // time while many agents start, so a balancer that does not watch is often a little
-// behind.
-func (s *Set) ListIsComplete(now time.Time, revision int64) (complete bool) {
-	var newest int64
+// behind. Reports on lists of an earlier generation of the store do not count, because
+// these may lack agents of the latest one.
+func (s *Set) ListIsComplete(now time.Time, revision store.Revision) (complete bool) {
+	var newest store.Revision
 	sources := 0
 	for _, p := range s.byAddress {
-		if p.isSource(now) {
-			sources++
-			newest = max(newest, p.digest.ListRevision)
-			complete = complete || p.digest.ListComplete
+		if !p.isSource(now) {
+			continue
+		}
+		sources++
+		d := p.digest
+		if d.ListRevision.Generation > newest.Generation {
+			complete = false
+		}
+		if d.ListRevision.Generation >= newest.Generation {
+			complete = complete || d.ListComplete
+		}
+		if d.ListRevision.Compare(newest) > 0 {
+			newest = d.ListRevision
 		}
 	}
-	if sources > 0 && newest <= revision {
+	if sources > 0 && newest.Compare(revision) <= 0 {
 		s.listCurrentAt = now
 	}
 	return complete && now.Sub(s.listCurrentAt) <= maxListLag
--- a/internal/segment/peers/peers_test.go
+++ b/internal/segment/peers/peers_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/segment/message"
 )
 
@@ -21,7 +22,7 @@
 // source returns the digest of a balancer that watches the store and whose last
 // response is some milliseconds old.
 func source(ageMS, cpu int) message.Digest {
-	return message.Digest{Watching: true, StoreAge: time.Duration(ageMS) * time.Millisecond, CPUPermille: cpu, ListRevision: 7, ListComplete: true}
+	return message.Digest{Watching: true, StoreAge: time.Duration(ageMS) * time.Millisecond, CPUPermille: cpu, ListRevision: store.Revision{Number: 7}, ListComplete: true}
 }
 
 // Guards against balancers that watch the store although others do it for them, so that
@@ -194,9 +195,10 @@
 		{"same revision", []message.Digest{source(0, 0)}, 100, 7, true},
 		{"older than the watcher's", []message.Digest{source(0, 0)}, 100, 6, false},
 		{"watcher not heard for long", []message.Digest{source(0, 0)}, 1300, 7, false},
-		{"watcher lost the store", []message.Digest{{Watching: true, StoreAge: message.UnknownAge, ListRevision: 7, ListComplete: true}}, 100, 7, false},
-		{"watcher waits for entries to return", []message.Digest{{Watching: true, ListRevision: 7}}, 100, 7, false},
-		{"not a watcher", []message.Digest{{ListRevision: 7, ListComplete: true}}, 100, 7, false},
+		{"watcher lost the store", []message.Digest{{Watching: true, StoreAge: message.UnknownAge, ListRevision: store.Revision{Number: 7}, ListComplete: true}}, 100, 7, false},
+		{"watcher waits for entries to return", []message.Digest{{Watching: true, ListRevision: store.Revision{Number: 7}}}, 100, 7, false},
+		{"watcher of the latest generation waits", []message.Digest{source(0, 0), {Watching: true, ListRevision: store.Revision{Generation: 1, Number: 3}}}, 100, 7, false},
+		{"not a watcher", []message.Digest{{ListRevision: store.Revision{Number: 7}, ListComplete: true}}, 100, 7, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -206,7 +208,7 @@
 			for i, d := range test.digests {
 				s.HandleDigest(start, testAddress(2+i), d)
 			}
-			is.Equal(s.ListIsComplete(at(test.afterMS), test.revision), test.want)
+			is.Equal(s.ListIsComplete(at(test.afterMS), store.Revision{Number: test.revision}), test.want)
 		})
 	}
 }
@@ -220,17 +222,17 @@
 	is.NoErr(err)
 	d := source(0, 0)
 	for ms := 0; ms < 5000; ms += 200 {
-		d.ListRevision++
+		d.ListRevision = d.ListRevision.Next()
 		s.HandleDigest(at(ms), testAddress(2), d)
 		own := d.ListRevision
 		if ms%600 != 0 {
-			own-- // the view with the newest list has not been read yet
+			own.Number-- // the view with the newest list has not been read yet
 		}
 		is.True(s.ListIsComplete(at(ms), own))
 	}
 	own := d.ListRevision
 	for ms := 5000; ms < 7000; ms += 200 {
-		d.ListRevision++
+		d.ListRevision = d.ListRevision.Next()
 		s.HandleDigest(at(ms), testAddress(2), d)
 		is.Equal(s.ListIsComplete(at(ms), own), at(ms).Sub(at(4800)) <= maxListLag) // 4800 was the last time without a newer list
 	}
