registry: Check and remove entries of the store's present generation only

After a restore an agent renewed a lease whose id had been given to another agent for its own, so that its entry stayed missing unless a balancer noticed it; and an agent that stopped revoked that lease, which removed the entry of the other one.

Cause: lease ids, like revisions, hold only within a generation. A renewal that shows another generation now makes the agent read its entry, which decides. The read, the grant and the write have to be of one generation. An agent that stops deletes its entry under the condition that it is the one that it wrote, and leaves the lease to expire; Run does not write it again.

--- a/internal/segment/registry/registrar.go
+++ b/internal/segment/registry/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -36,11 +37,17 @@
 	Logger log.Logger
 }
 
+// writtenEntry is the entry in the store as the registrar last wrote or read it. The zero value is none.
+type writtenEntry struct {
+	lease store.LeaseID
+	// revision is the revision of the last change of the entry.
+	revision store.Revision
+}
+
 // Registrar keeps the entry of an agent in the store under a lease.
 type Registrar struct {
 	config RegistrarConfig
 	value  []byte
-	lease  store.LeaseID
 	// checkRequests wakes Run to check that the entry exists.
 	checkRequests chan struct{}
 	// lastSeen is when the entry was last written, or read by a check.
@@ -49,6 +56,12 @@
 	checkDue bool
 	// renewalFailing is set while the entry cannot be written or its lease renewed.
 	renewalFailing bool
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	written writtenEntry
+	// removed is set once Remove was called.
+	removed bool
 }
 
 // NewRegistrar validates c and returns a registrar that does nothing until Run is called.
@@ -92,13 +105,38 @@
 	return nil
 }
 
-// Remove removes the entry from the store by revoking its lease. It does nothing if there is no lease. If Run has not
-// ended, it writes the entry again when the next renewal is due.
+// Remove deletes the entry from the store unless it has changed since it was last written or read. It does nothing if
+// there is none. Run does not write the entry again.
 func (r *Registrar) Remove(ctx context.Context) (err error) {
-	if r.lease == 0 {
+	defer func() { err = errors.WithMessage(err, "remove agent entry") }()
+	r.mu.Lock()
+	r.removed = true
+	written := r.written
+	r.mu.Unlock()
+	if written.lease == 0 {
 		return nil
 	}
-	return errors.WithMessage(r.config.Store.Revoke(ctx, r.lease), "remove agent entry")
+	// The lease is left to expire: after a restore of the store, its id may belong to another lease.
+	key := r.config.Entry.Key()
+	result, err := r.config.Store.Txn(ctx, []store.Compare{{Key: key, Revision: written.revision.Number}},
+		[]store.Write{{Key: key, Delete: true}})
+	if err == nil && !result.Succeeded {
+		err = errors.New("entry has changed")
+	}
+	return err
+}
+
+// lastWritten returns the entry as it was last written or read, and whether Remove was called.
+func (r *Registrar) lastWritten() (written writtenEntry, removed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.written, r.removed
+}
+
+func (r *Registrar) setWritten(written writtenEntry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.written = written
 }
 
 // waitForRenewal blocks until the lease is due for renewal, or until a check is requested and the entry was last
@@ -122,32 +160,41 @@
 	}
 }
 
-// renew renews the lease. If there is no lease or it has expired, renew obtains a new one and writes the entry.
+// renew renews the lease. If there is no lease or it has ended, renew obtains a new one and writes the entry. If the
+// store was restored, renew checks the entry, because the lease may have been granted to another process since.
 func (r *Registrar) renew(ctx context.Context) (err error) {
-	if r.lease != 0 {
-		_, err = r.config.Store.KeepAlive(ctx, r.lease)
-		if !errors.Is(err, store.ErrLeaseNotFound) {
-			return err
-		}
-		logging.Line(level.Warn(r.config.Logger), "event", "entry_lease_lost", "key", r.config.Entry.Key(), "lease", r.lease)
-		r.lease = 0
+	written, removed := r.lastWritten()
+	if removed {
+		return nil
 	}
-	lease, err := r.config.Store.Grant(ctx, leaseSeconds)
-	if err != nil {
+	if written.lease == 0 {
+		return r.writeEntry(ctx)
+	}
+	generation, err := r.config.Store.KeepAlive(ctx, written.lease)
+	switch {
+	case errors.Is(err, store.ErrLeaseNotFound):
+		logging.Line(level.Warn(r.config.Logger), "event", "entry_lease_lost", "key", r.config.Entry.Key(), "lease", written.lease)
+		return r.writeEntry(ctx)
+	case err != nil || generation == written.revision.Generation:
 		return err
 	}
-	if err = r.writeEntry(ctx, lease); err != nil {
+	held, err := r.readEntry(ctx)
+	if err != nil || held {
 		return err
 	}
-	r.lease, r.lastSeen = lease, time.Now()
-	return nil
+	return r.writeEntry(ctx)
 }
 
-// writeEntry writes the entry if it has not changed since writeEntry read it. A write that the store carries out
-// late therefore cannot replace a newer one.
-func (r *Registrar) writeEntry(ctx context.Context, lease store.LeaseID) (err error) {
+// writeEntry writes the entry under a new lease if it has not changed since writeEntry read it. A write that the store
+// carries out late therefore cannot replace a newer one.
+func (r *Registrar) writeEntry(ctx context.Context) (err error) {
+	r.setWritten(writtenEntry{})
 	key := r.config.Entry.Key()
-	current, _, err := r.config.Store.Get(ctx, key)
+	current, read, err := r.config.Store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	lease, err := r.config.Store.Grant(ctx, leaseSeconds)
 	if err != nil {
 		return err
 	}
@@ -157,32 +204,50 @@
 	}
 	result, err := r.config.Store.Txn(ctx, []store.Compare{{Key: key, Revision: revision}},
 		[]store.Write{{Key: key, Value: r.value, Lease: lease}})
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if !result.Succeeded {
+	case !result.Succeeded:
 		return errors.New("agent entry was changed by another process between its read and its write")
+	case result.Revision.Generation != read.Generation:
+		return errors.New("store was restored while the agent entry was written")
 	}
+	r.setWritten(writtenEntry{lease: lease, revision: result.Revision})
+	r.lastSeen = time.Now()
 	logging.Line(level.Info(r.config.Logger), "event", "entry_written", "key", key, "lease", lease, "generation", result.Revision.Generation, "revision", result.Revision.Number)
 	return nil
 }
 
-// checkEntry carries out a requested check. If the entry is missing or under another lease, checkEntry discards the
-// lease, so that renew writes the entry again.
+// readEntry reads the entry and reports whether it is held, that is, present under the lease of this registrar.
+func (r *Registrar) readEntry(ctx context.Context) (held bool, err error) {
+	written, _ := r.lastWritten()
+	current, read, err := r.config.Store.Get(ctx, r.config.Entry.Key())
+	if err != nil {
+		return false, err
+	}
+	r.lastSeen = time.Now()
+	if current == nil || current.Lease != written.lease {
+		logging.Line(level.Warn(r.config.Logger), "event", "entry_missing", "key", r.config.Entry.Key(), "generation", read.Generation)
+		return false, nil
+	}
+	r.setWritten(writtenEntry{lease: written.lease, revision: store.Revision{Generation: read.Generation, Number: current.ModRevision}})
+	return true, nil
+}
+
+// checkEntry carries out a requested check. If the entry is not held, checkEntry discards it, so that renew writes it
+// again.
 func (r *Registrar) checkEntry(ctx context.Context) {
 	if !r.checkDue {
 		return
 	}
 	r.checkDue = false
-	current, _, err := r.config.Store.Get(ctx, r.config.Entry.Key())
+	held, err := r.readEntry(ctx)
 	if err != nil {
 		r.reportState(err)
 		return
 	}
-	r.lastSeen = time.Now()
-	if current == nil || current.Lease != r.lease {
-		logging.Line(level.Warn(r.config.Logger), "event", "entry_missing", "key", r.config.Entry.Key())
-		r.lease = 0
+	if !held {
+		r.setWritten(writtenEntry{})
 	}
 }
 
@@ -197,5 +262,6 @@
 		logging.Line(level.Warn(r.config.Logger), "event", "entry_not_renewed", "key", r.config.Entry.Key(), "err", err)
 		return
 	}
-	logging.Line(level.Info(r.config.Logger), "event", "entry_renewed", "key", r.config.Entry.Key(), "lease", r.lease)
+	written, _ := r.lastWritten()
+	logging.Line(level.Info(r.config.Logger), "event", "entry_renewed", "key", r.config.Entry.Key(), "lease", written.lease)
 }
--- a/internal/segment/registry/retry_budget_test.go
+++ b/internal/segment/registry/retry_budget_test.go
@@ -36,6 +36,11 @@
 	return nil, store.ErrCompacted
 }
 
+func (s *failingStore) Get(context.Context, string) (*store.Entry, store.Revision, error) {
+	s.calls.Add(1)
+	return nil, store.Revision{}, store.ErrUnavailable
+}
+
 func (s *failingStore) Grant(context.Context, int64) (store.LeaseID, error) {
 	s.calls.Add(1)
 	return 0, store.ErrUnavailable
