etcd: End watches of a cluster that was restored

The client numbers the cluster ids of the responses as generations. A watch ends with ErrCompacted when its start is of another cluster, or beyond the store's revision.

The contract of both stores has a case for it; over the wire it failed before (the watch waited) and passes now.

--- a/internal/keyvalue/etcd/client.go
+++ b/internal/keyvalue/etcd/client.go
@@ -9,6 +9,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,11 @@
 	// the endpoint in use.
 	selected  atomic.Uint64
 	userAgent string
+
+	// mu guards generations, which numbers the cluster ids in the order in which they were
+	// first seen.
+	mu          sync.Mutex
+	generations map[uint64]uint64
 }
 
 var _ store.Store = (*Client)(nil)
@@ -83,7 +89,7 @@
 		protocols, scheme = new(http.Protocols), "http"
 		protocols.SetUnencryptedHTTP2(true)
 	}
-	c = &Client{userAgent: cfg.UserAgent, transport: &http.Transport{
+	c = &Client{userAgent: cfg.UserAgent, generations: make(map[uint64]uint64), transport: &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig: cfg.TLS,
 		Protocols:       protocols,
@@ -184,9 +190,17 @@
 	return err
 }
 
-// revision returns the revision in the header of a response.
+// revision returns the revision in the header of a response. A cluster that was restored
+// under another token has another id and begins another generation.
 func (c *Client) revision(header *etcdpb.ResponseHeader) store.Revision {
-	return store.Revision{Number: header.GetRevision()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	generation, ok := c.generations[header.GetClusterId()]
+	if !ok {
+		generation = uint64(len(c.generations))
+		c.generations[header.GetClusterId()] = generation
+	}
+	return store.Revision{Generation: generation, Number: header.GetRevision()}
 }
 
 // newRequest returns a request with the User-Agent header of the client.
--- a/internal/keyvalue/etcd/watch.go
+++ b/internal/keyvalue/etcd/watch.go
@@ -26,6 +26,8 @@
 	client  *Client
 	tasks   *group.Group
 	results chan watchResult
+	// generation is the generation of the store that the watch began in.
+	generation uint64
 }
 
 // Watch opens a watch of the keys that begin with prefix. It delivers the changes since
@@ -37,10 +39,15 @@
 	cancelStop := context.AfterFunc(ctx, tasks.Stop)
 	defer cancelStop()
 	var stream *watchStream
-	err = c.call(ctx, func(e *endpoint) error {
+	var current store.Revision
+	err = c.call(ctx, func(e *endpoint) (err error) {
 		stream = e.watch.Watch(tasks.Context())
-		return c.createWatch(tasks.Context(), stream, prefix, revision.Number)
+		current, err = c.createWatch(tasks.Context(), stream, prefix, revision.Number)
+		return err
 	})
+	if err == nil {
+		err = checkHistory(revision, current)
+	}
 	if err != nil || ctx.Err() != nil {
 		tasks.Stop()
 		if err == nil {
@@ -48,13 +55,30 @@
 		}
 		return nil, err
 	}
-	opened := &watcher{client: c, tasks: tasks, results: make(chan watchResult)}
+	opened := &watcher{client: c, tasks: tasks, results: make(chan watchResult), generation: current.Generation}
 	tasks.Go("watch", func(ctx context.Context) error { return opened.receive(ctx, stream) })
 	return opened, nil
 }
 
-// createWatch asks the server for a watch and blocks until the server has created it.
-func (c *Client) createWatch(ctx context.Context, stream *watchStream, prefix string, number int64) (err error) {
+// checkHistory returns store.ErrCompacted if a store at the current revision cannot have
+// the history from another revision on. The zero revision means from the next change on.
+func checkHistory(from, current store.Revision) error {
+	switch {
+	case from == store.Revision{}:
+		return nil
+	case from.Generation != current.Generation:
+		return errors.WithMessage(store.ErrCompacted, "the cluster was restored")
+	case from.Number > current.Number+1:
+		return errors.WithMessagef(store.ErrCompacted, "watch from revision %d, store is at %d", from.Number, current.Number)
+	}
+	return nil
+}
+
+// createWatch asks the server for a watch, blocks until the server has created it, and
+// returns the revision of the store.
+func (c *Client) createWatch(
+	ctx context.Context, stream *watchStream, prefix string, number int64,
+) (current store.Revision, err error) {
 	stream.RequestHeader().Set("User-Agent", c.userAgent)
 	key, end := prefixRange(prefix)
 	err = stream.Send(&etcdpb.WatchRequest{RequestUnion: &etcdpb.WatchRequest_CreateRequest{
@@ -62,19 +86,19 @@
 	}})
 	// Send returns io.EOF if the call has already failed; Receive then returns the error.
 	if err != nil && !errors.Is(err, io.EOF) {
-		return err
+		return current, err
 	}
 	// The HTTP/2 transport reacts to the end of a context only after the request body has
 	// ended too.
 	context.AfterFunc(ctx, func() { _ = stream.CloseRequest() })
 	response, err := stream.Receive()
 	if err != nil {
-		return err
+		return current, err
 	}
 	if !response.GetCreated() || response.GetCanceled() {
-		return cancelError(response)
+		return current, cancelError(response)
 	}
-	return nil
+	return c.revision(response.GetHeader()), nil
 }
 
 // cancelError returns the error for a watch that the server cancelled: store.ErrCompacted
@@ -97,6 +121,8 @@
 			err = mapError(ctx, err)
 		case response.GetCanceled():
 			err = cancelError(response)
+		case w.client.revision(response.GetHeader()).Generation != w.generation:
+			err = errors.WithMessage(store.ErrCompacted, "the cluster was restored")
 		}
 		if err != nil {
 			w.deliver(ctx, watchResult{err: err})
--- a/internal/standin/etcdserver/contract_test.go
+++ b/internal/standin/etcdserver/contract_test.go
@@ -82,6 +82,7 @@
 		{"leases", testLeases},
 		{"watch", testWatch},
 		{"compaction", testCompaction},
+		{"restore", testRestore},
 		{"contexts", testContexts},
 	}
 	for _, s := range stores {
@@ -266,6 +267,41 @@
 	is.Equal(string(batch.Events[0].Entry.Value), "2")
 }
 
+// Guards against a watch that goes on after the store was restored, from a revision that
+// was given out again, and so misses what was written before it.
+func testRestore(ctx context.Context, is *is.I, s store.Store, m *memory.Store) {
+	put(ctx, is, s, "r", "1")
+	snapshot := m.Snapshot()
+	put(ctx, is, s, "r", "2")
+	lease, err := s.Grant(ctx, 60)
+	is.NoErr(err)
+	before, err := s.KeepAlive(ctx, lease)
+	is.NoErr(err)
+	_, revision, err := s.List(ctx, "r")
+	is.NoErr(err)
+	m.Restore(snapshot)
+	put(ctx, is, s, "r", "3")
+	put(ctx, is, s, "q", "3")
+
+	short, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	w, err := s.Watch(short, "r", revision.Next())
+	if err == nil {
+		defer w.Close()
+		_, err = w.Next(short)
+	}
+	is.True(errors.Is(err, store.ErrCompacted))
+	entries, after, err := s.List(ctx, "r")
+	is.NoErr(err)
+	is.Equal(string(entries[0].Value), "3")
+	is.True(after.Compare(revision) > 0)
+	again, err := s.Grant(ctx, 60) // may have the id of the lost lease
+	is.NoErr(err)
+	generation, err := s.KeepAlive(ctx, again)
+	is.NoErr(err)
+	is.True(generation > before)
+}
+
 // Guards against calls that ignore their context.
 func testContexts(ctx context.Context, is *is.I, s store.Store, _ *memory.Store) {
 	ended, cancel := context.WithCancel(ctx)
