shard: Forget holders, shards and the lease after a restore

Fences are create revisions, so after a restore a balancer took the holders of before for later ones and sent its frames to them, and a process went on with a shard and a lease that were gone. A list of another generation now makes it forget all holders and give up its shards and its lease. TestHoldersAfterRestore failed before (holder 'first' with fence 100 in place of 'second' with 20) and passes now.

--- a/internal/keyvalue/shard/elect.go
+++ b/internal/keyvalue/shard/elect.go
@@ -52,6 +52,7 @@
 
 // holdersListed applies a full list of the holder keys. A shard without a key is free.
 func (r *Runner) holdersListed(entries []store.Entry, revision store.Revision) {
+	r.setGeneration(revision.Generation)
 	found := map[int]bool{}
 	for i := range entries {
 		if shard, ok := shardOfKey(entries[i].Key); ok {
@@ -67,6 +68,21 @@
 	r.config.HoldersChanged(maps.Clone(r.holders))
 }
 
+// setGeneration forgets all holders, and gives up all shards and the lease, if the store was restored: fences and lease
+// ids are given out again by the next generation.
+func (r *Runner) setGeneration(generation uint64) {
+	if generation == r.generation {
+		return
+	}
+	_ = level.Warn(r.config.Logger).Log("event", "store_restored", "prefix", HolderPrefix, "generation", generation, "previous", r.generation)
+	r.generation = generation
+	clear(r.holders)
+	for shard := range r.held {
+		r.stepDown(shard, "the store was restored")
+	}
+	r.lease.discard(r.lease.current())
+}
+
 // holderChanged applies a change of a holder key. If this process held the shard and no
 // longer does, it steps down. If the shard is free, the process competes for it. revision
 // is the store revision of the list or the batch that the change comes from.
--- a/internal/keyvalue/shard/runner.go
+++ b/internal/keyvalue/shard/runner.go
@@ -58,6 +58,8 @@
 
 	// Only the loop uses the fields below.
 	settings *Settings // nil until Configure is called
+	// generation is the generation of the store that holders and held are of.
+	generation uint64
 	// holders holds the known holder of each shard, which may be this process. held holds
 	// the shards that this process holds.
 	holders map[int]HolderInfo
