--- a/internal/cli/hosted/status.go
+++ b/internal/cli/hosted/status.go
@@ -111,7 +111,7 @@
 		return report, err
 	}
 	for _, entry := range entries {
-		e, err := registry.DecodeEntry(entry.Value)
+		e, err := registry.DecodeEntry(entry.Key, entry.Value)
 		if err != nil {
 			report.Unreadable = append(report.Unreadable, entry.Key)
 			continue
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -177,7 +177,7 @@
 func (b *Balancer) handleAgentEntries(entries map[string]store.Entry, revision store.Revision) {
 	list := agentList{revision: revision}
 	for key, entry := range entries {
-		e, err := registry.DecodeEntry(entry.Value)
+		e, err := registry.DecodeEntry(key, entry.Value)
 		if err != nil {
 			logging.Line(level.Warn(b.config.Logger), "event", "entry_unreadable", "key", key, "revision", entry.ModRevision, "err", err)
 			continue
--- a/internal/segment/registry/entry_test.go
+++ b/internal/segment/registry/entry_test.go
@@ -13,15 +13,16 @@
 	e := Entry{Node: "side-1", Address: netip.MustParseAddr("10.0.0.1"), Service: "studio"}
 	value, err := e.Encode()
 	is.NoErr(err)
-	decoded, err := DecodeEntry(value)
+	decoded, err := DecodeEntry(e.Key(), value)
 	is.NoErr(err)
 	is.Equal(decoded, e)
 	for _, value := range []string{
 		"", "{", "[]", "7", "\xff", `{"node":"side-1"}`, `{"node":"side-1","address":"10.0.0.1"}`,
 		`{"node":"side-1","address":"here","service":"studio"}`, `{"node":7,"address":"10.0.0.1","service":"studio"}`,
-		`{"address":"10.0.0.1","service":"studio"}`,
+		`{"address":"10.0.0.1","service":"studio"}`, `{"node":"side-2","address":"10.0.0.1","service":"studio"}`,
+		`{"node":"side-1","address":"::1","service":"studio"}`, `{"node":"side-1","address":"0.0.0.0","service":"studio"}`,
 	} {
-		_, err := DecodeEntry([]byte(value))
+		_, err := DecodeEntry(e.Key(), []byte(value))
 		is.True(err != nil)
 	}
 }
@@ -31,7 +32,7 @@
 func FuzzDecodeEntry(f *testing.F) {
 	f.Add([]byte(`{"node":"side-1","address":"10.0.0.1","service":"studio"}`))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		e, err := DecodeEntry(value)
-		is.New(t).Equal(err == nil, e.Node != "" && e.Service != "" && e.Address.IsValid())
+		e, err := DecodeEntry(KeyPrefix+"side-1", value)
+		is.New(t).Equal(err == nil, e.Node == "side-1" && e.Service != "" && e.Address.IsValid())
 	})
 }
