shard: Read the other specs when one is unreadable

Such a value now counts as a spec without versions, which the holder of its shard replaces under its revision; keys that name no service are left out.

--- a/internal/keyvalue/shard/writer.go
+++ b/internal/keyvalue/shard/writer.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"agateramp/internal/control/controlpb"
 	"agateramp/internal/keyvalue/store"
 )
 
@@ -103,7 +104,8 @@
 	}
 }
 
-// listStoredSpecs returns the table specs of all shards.
+// listStoredSpecs returns the table specs of all shards. A spec that cannot be read counts as one without versions, so that
+// its holder replaces it and the others are served. Other keys are left out.
 func listStoredSpecs(ctx context.Context, s store.Store) (stored []StoredSpec, err error) {
 	entries, _, err := s.List(ctx, TablePrefix)
 	if err != nil {
@@ -112,7 +114,11 @@
 	for i := range entries {
 		st, err := ParseTable(&entries[i])
 		if err != nil {
-			return nil, err
+			id, ok := ServiceOfTableKey(entries[i].Key)
+			if !ok {
+				continue
+			}
+			st = StoredSpec{Spec: &controlpb.TableSpec{ServiceId: id}, Revision: entries[i].ModRevision}
 		}
 		stored = append(stored, st)
 	}
