shard: Publish above the versions that balancers use

Versions of table specs are given out again after a restore, and balancers ignore a spec that is not above the one in use: a table published then would never be used until its version had passed the old one. The holder now takes the versions that balancers acknowledged into account, and publishes a table when one of them is above the stored one. The same repairs a spec that was unreadable. TestVersionAboveThoseInUse failed before in both cases (no version above 12) and passes now, as do the model checks of the package with the race detector.

--- a/internal/keyvalue/shard/member.go
+++ b/internal/keyvalue/shard/member.go
@@ -97,6 +97,14 @@
 	}
 }
 
+// usedVersion returns the newest version that a balancer uses, or 0 if none is known.
+func (s *service) usedVersion() (version uint64) {
+	for _, v := range s.balancerAcks {
+		version = max(version, v)
+	}
+	return version
+}
+
 // sortedMembers returns the members ordered by name.
 func (s *service) sortedMembers() []*member {
 	members := make([]*member, 0, len(s.members))
--- a/internal/keyvalue/shard/publish.go
+++ b/internal/keyvalue/shard/publish.go
@@ -84,6 +84,10 @@
 	if s.stored == nil || (s.settings != nil && s.settings.ConfigVersion > s.stored.GetConfigVersion()) {
 		raiseUrgency(urgentChange)
 	}
+	if s.usedVersion() > NewestVersion(s.stored) {
+		// The store was restored or the spec was unreadable: balancers use a version that it no longer holds.
+		raiseUrgency(urgentChange)
+	}
 	p.lost, _, _ = h.lostHosts(now, s)
 	for _, m := range s.members {
 		old := s.listed[m.name]
@@ -206,7 +210,7 @@
 	spec := &controlpb.TableSpec{ServiceId: s.id, Fence: fence}
 	if members != nil {
 		spec.Versions = append(spec.Versions, &controlpb.TableVersion{
-			Version: NewestVersion(s.stored) + 1, Members: members,
+			Version: max(NewestVersion(s.stored), s.usedVersion()) + 1, Members: members,
 		})
 	}
 	for _, v := range s.stored.GetVersions() {
--- a/internal/keyvalue/shard/restore_test.go
+++ b/internal/keyvalue/shard/restore_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"agateramp/internal/control/controlpb"
 	"agateramp/internal/keyvalue/store"
 )
 
@@ -47,3 +48,27 @@
 	is.True(h.ctx.Err() != nil)
 	is.Equal(r.lease.current(), store.LeaseID(0))
 }
+
+// Guards against table versions that balancers ignore because they use a later one, which
+// the store lost in a restore or which was overwritten.
+func TestVersionAboveThoseInUse(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		stored *controlpb.TableSpec
+	}{
+		{"older spec", &controlpb.TableSpec{ServiceId: 1, Versions: []*controlpb.TableVersion{{Version: 10}}}},
+		{"unreadable spec", &controlpb.TableSpec{ServiceId: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, HolderConfig{
+				Settings: settings(1, nil), Stored: []StoredSpec{{Spec: test.stored, Revision: 50}}, Balancers: []string{"b0"},
+			})
+			f.handle(AckReceived{"b0", &controlpb.Ack{Name: "b0", ServiceId: 1, Version: 12, Balancer: true}})
+			f.attach("h1", 1, false)
+			f.advance(3 * time.Second)
+			is.Equal(f.listedHosts(), "h1")
+			is.True(NewestVersion(f.holder.Spec(1)) > 12)
+		})
+	}
+}
