--- a/internal/segment/peers/peers.go
+++ b/internal/segment/peers/peers.go
@@ -222,8 +222,8 @@
 // by the digests of the watchers: one of them with current data reports that its list
 // is, and none has had a newer one for longer than maxListLag. The list changes all the
 // time while many agents start, so a balancer that does not watch is often a little
-// behind. Reports on lists of an earlier generation of the store do not count, because
-// these may lack agents of the latest one.
+// behind. Reports on lists of another generation of the store do not count, because these
+// may lack agents of that of the list.
 func (s *Set) ListIsComplete(now time.Time, revision store.Revision) (complete bool) {
 	var newest store.Revision
 	sources := 0
@@ -246,5 +246,5 @@
 	if sources > 0 && newest.Compare(revision) <= 0 {
 		s.listCurrentAt = now
 	}
-	return complete && now.Sub(s.listCurrentAt) <= maxListLag
+	return complete && newest.Generation == revision.Generation && now.Sub(s.listCurrentAt) <= maxListLag
 }
--- a/internal/segment/peers/peers_test.go
+++ b/internal/segment/peers/peers_test.go
@@ -213,6 +213,24 @@
 	}
 }
 
+// Guards against a list that counts as complete because watchers say so of lists of
+// another generation of the store.
+func TestListIsCompleteInOneGeneration(t *testing.T) {
+	is := is.New(t)
+	s, err := New(Config{Self: testAddress(1)})
+	is.NoErr(err)
+	s.HandleDigest(start, testAddress(2), source(0, 0))
+	own := store.Revision{Number: 7}
+	is.True(s.ListIsComplete(start, own))
+	later := store.Revision{Generation: 1, Number: 7}
+	is.Equal(s.ListIsComplete(start, later), false) // the watcher has not noticed the restore
+	d := source(0, 0)
+	d.ListRevision = later
+	s.HandleDigest(start, testAddress(2), d)
+	is.Equal(s.ListIsComplete(start, own), false) // the view with the list has not been read
+	is.True(s.ListIsComplete(start, later))
+}
+
 // Guards against a list that hardly ever counts as complete while the store's list
 // changes all the time, as after a loss of power, so that flows which no host holds are
 // not reset; and against one that stays complete when it is not renewed.
