--- a/internal/keyvalue/shard/odd_spec_test.go
+++ b/internal/keyvalue/shard/odd_spec_test.go
@@ -20,8 +20,10 @@
 	good, err := proto.Marshal(&controlpb.TableSpec{ServiceId: 2, Versions: []*controlpb.TableVersion{{Version: 5}}})
 	is.NoErr(err)
 	_, err = m.Txn(t.Context(), nil, []store.Write{
-		{Key: TableKey(1), Value: []byte("\xff\xff")}, {Key: TableKey(2), Value: good},
-		{Key: TablePrefix + "99999999999", Value: good}, {Key: TablePrefix + "odd", Value: nil},
+		{Key: TableKey(1), Value: []byte("\xff\xff")},
+		{Key: TableKey(2), Value: good},
+		{Key: TablePrefix + "99999999999", Value: good},
+		{Key: TablePrefix + "odd", Value: nil},
 	})
 	is.NoErr(err)
 	stored, err := listStoredSpecs(t.Context(), m)
