shard: Leave no gap between the versions of a table spec

Below versions that the store lost none is retained now; flows of the lost ones are found through the agents.

TestVersionAboveThoseInUse checks for gaps and failed before.

--- a/internal/cli/scenario/roles_test.go
+++ b/internal/cli/scenario/roles_test.go
@@ -39,9 +39,9 @@
 }
 
 // cmdStore runs the store or switches its faults: store start, store down,
-// store up, store delay MILLISECONDS, store lose ANSWERS.
+// store up, store delay MILLISECONDS, store lose ANSWERS, store snapshot, store restore.
 func cmdStore(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 1, "store start|down|up|delay MS|lose N")
+	need(ts, neg, args, 1, "store start|down|up|delay MS|lose N|snapshot|restore")
 	f := fleetOf(ts)
 	value := 0
 	if len(args) > 1 {
@@ -56,6 +56,9 @@
 		ts.Setenv("STORE", f.address("store"))
 		f.await(ts, "store", func() (bool, string) { return reachable("http://" + f.address("store") + "/faults") })
 		return
+	case "snapshot", "restore":
+		ts.Check(call(http.MethodPost, "http://"+f.address("store")+"/"+args[0], nil, nil))
+		return
 	case "down":
 		faults["down"] = true
 	case "up":
--- a/internal/keyvalue/shard/publish.go
+++ b/internal/keyvalue/shard/publish.go
@@ -208,13 +208,13 @@
 // members is nil, and retires the versions below oldest.
 func (s *service) newChange(fence int64, members []*controlpb.Member, oldest uint64) *Change {
 	spec := &controlpb.TableSpec{ServiceId: s.id, Fence: fence}
+	newest := NewestVersion(s.stored)
 	if members != nil {
-		spec.Versions = append(spec.Versions, &controlpb.TableVersion{
-			Version: max(NewestVersion(s.stored), s.usedVersion()) + 1, Members: members,
-		})
+		spec.Versions = append(spec.Versions, &controlpb.TableVersion{Version: max(newest, s.usedVersion()) + 1, Members: members})
 	}
 	for _, v := range s.stored.GetVersions() {
-		if v.GetVersion() >= oldest {
+		// The versions of a spec are consecutive, so none can be retained below versions that the store lost.
+		if v.GetVersion() >= oldest && (members == nil || s.usedVersion() <= newest) {
 			spec.Versions = append(spec.Versions, v)
 		}
 	}
--- a/internal/keyvalue/shard/restore_test.go
+++ b/internal/keyvalue/shard/restore_test.go
@@ -69,6 +69,12 @@
 			f.advance(3 * time.Second)
 			is.Equal(f.listedHosts(), "h1")
 			is.True(NewestVersion(f.holder.Spec(1)) > 12)
+			for _, e := range f.effects {
+				if p, ok := e.(*Publish); ok {
+					spec := p.Changes[0].Spec
+					is.Equal(NewestVersion(spec)-OldestVersion(spec)+1, uint64(len(spec.GetVersions()))) // readers refuse a spec with gaps
+				}
+			}
 		})
 	}
 }
--- a/internal/standin/etcdserver/admin.go
+++ b/internal/standin/etcdserver/admin.go
@@ -6,7 +6,8 @@
 )
 
 // addAdmin serves the faults over HTTP: GET and PUT /faults with the JSON of
-// Settings, POST /lapse?key=KEY, and GET /calls.
+// Settings, POST /lapse?key=KEY, POST /snapshot, POST /restore, which returns the
+// store to the last snapshot, and GET /calls.
 func (s *Server) addAdmin(mux *http.ServeMux) {
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.faults.Settings()) })
 	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
@@ -27,6 +28,17 @@
 		}
 		reply(w, map[string]bool{"lapsed": true})
 	})
+	mux.HandleFunc("POST /snapshot", func(w http.ResponseWriter, _ *http.Request) {
+		s.faults.TakeSnapshot()
+		reply(w, map[string]bool{"taken": true})
+	})
+	mux.HandleFunc("POST /restore", func(w http.ResponseWriter, _ *http.Request) {
+		if err := s.faults.Restore(); err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		reply(w, map[string]bool{"restored": true})
+	})
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.faults.Calls()) })
 }
 
--- a/internal/standin/etcdserver/faults.go
+++ b/internal/standin/etcdserver/faults.go
@@ -34,6 +34,8 @@
 	settings Settings
 	calls    map[string]int64
 	waiting  map[*faultyWatcher]struct{}
+	// snapshot is the last snapshot, or nil.
+	snapshot *memory.Snapshot
 }
 
 // NewFaults returns m with no fault switched on.
@@ -76,15 +78,27 @@
 	return f.memory.Revoke(ctx, entry.Lease)
 }
 
-// Restore returns the store to a snapshot and ends all watches, as a service does that was
-// restored from a copy.
-func (f *Faults) Restore(c *memory.Snapshot) {
-	f.memory.Restore(c)
+// TakeSnapshot keeps a snapshot of the store for Restore.
+func (f *Faults) TakeSnapshot() {
+	snapshot := f.memory.Snapshot()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.snapshot = snapshot
+}
+
+// Restore returns the store to the last snapshot and ends all watches, as a service does
+// that was restored from a copy.
+func (f *Faults) Restore() (err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.snapshot == nil {
+		return errors.New("restore: no snapshot was taken")
+	}
+	f.memory.Restore(f.snapshot)
 	for w := range f.waiting {
 		w.cancel()
 	}
+	return nil
 }
 
 // Calls returns the number of calls by kind. A watch counts once, when it is opened.
