--- a/internal/cli/hosted/status.go
+++ b/internal/cli/hosted/status.go
@@ -31,7 +31,10 @@
 type status struct {
 	// ConfigVersion is the version of the operator's configuration in the store, or 0 if
 	// the store holds none.
-	ConfigVersion    uint64        `json:"config_version"`
+	ConfigVersion uint64 `json:"config_version"`
+	// StoreGeneration rises each time the store is restored from a copy. The revisions of
+	// agents are of this generation.
+	StoreGeneration  uint64        `json:"store_generation"`
 	Routes           int           `json:"routes"`
 	UnreadableRoutes int           `json:"unreadable_routes"`
 	Agents           []agentStatus `json:"agents"`
@@ -106,10 +109,11 @@
 		}
 		report.ConfigVersion, report.Routes, report.UnreadableRoutes = set.Version(), set.Len(), set.UnreadableRoutes()
 	}
-	entries, _, err := s.List(ctx, registry.KeyPrefix)
+	entries, revision, err := s.List(ctx, registry.KeyPrefix)
 	if err != nil {
 		return report, err
 	}
+	report.StoreGeneration = revision.Generation
 	for _, entry := range entries {
 		e, err := registry.DecodeEntry(entry.Key, entry.Value)
 		if err != nil {
--- a/internal/cli/hosted/status_test.go
+++ b/internal/cli/hosted/status_test.go
@@ -36,9 +36,11 @@
 		{Key: registry.KeyPrefix + "foreign", Value: []byte("?")},
 	})
 	is.NoErr(err)
+	s.Restore(s.Snapshot())
 	report, err := readStatus(t.Context(), s, platform.ConfigKey, platform.DecodeConfig)
 	is.NoErr(err)
 	is.Equal(report.ConfigVersion, uint64(7))
+	is.Equal(report.StoreGeneration, uint64(1))
 	is.Equal(report.Routes, 1)
 	is.Equal(report.UnreadableRoutes, 1)
 	is.Equal(len(report.Agents), 1)
