--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -260,8 +260,8 @@
 }
 
 // Stop makes the agent return the first packets of new flows and reports to the balancers that it is stopping. If the
-// host has ended or does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the entry stays for
-// a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
+// host has ended or does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the
+// entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
 func (a *Agent) Stop(ctx context.Context) {
 	if a.hostRefuses() {
 		a.handleHostAbsent()
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -141,8 +141,8 @@
 }
 
 // agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
-// during an outage of the store, and until entryReturnDelay after an outage, a restore or the begin of the watch. A balancer that does not watch the store relies on
-// the watchers. b.mu must be held.
+// during an outage of the store, and until entryReturnDelay after an outage, a restore or the begin of the watch. A
+// balancer that does not watch the store relies on the watchers. b.mu must be held.
 func (b *Balancer) agentsComplete(now time.Time) bool {
 	switch {
 	case b.list.revision.Number == 0:
