--- a/internal/keyvalue/store/store.go
+++ b/internal/keyvalue/store/store.go
@@ -8,8 +8,8 @@
 //
 // A service may be restored from a copy. It then loses the latest changes and leases, and
 // gives out their revisions again for others. A Revision therefore carries the generation
-// of the store, which rises with each restore: what was read in one generation says
-// nothing about the next one.
+// of the store, which rises with each restore. Data that was read in one generation need
+// not hold in the next one.
 package store
 
 import (
