--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -105,7 +105,7 @@
 	// watching is set while this balancer watches the store.
 	watching bool
 	// storeDown is set while the store is unreachable, and storeReturnedAt is when it became reachable again or was
-	// found to be restored, or when the balancer began or ceased to watch it.
+	// found to be restored; it is zero if neither has happened since the balancer began to watch it.
 	storeDown       bool
 	storeReturnedAt time.Time
 
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -118,8 +118,7 @@
 	defer b.mu.Unlock()
 	watching = b.peers.ShouldWatch(now)
 	if watching != b.watching {
-		// The store may have returned, or been restored, just before.
-		b.watching, b.storeDown, b.storeReturnedAt = watching, false, now
+		b.watching, b.storeDown, b.storeReturnedAt = watching, false, time.Time{}
 		b.peers.SetWatching(watching)
 		logging.Line(level.Info(b.config.Logger), "event", "store_watch_changed", "self", b.config.Address, "watching", watching,
 			"balancers_known", len(b.peers.Addresses()), "list_revision", b.list.revision.Number, "config_version", b.core.Routes().Version())
@@ -141,8 +140,8 @@
 }
 
 // agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
-// during an outage of the store, and until entryReturnDelay after an outage, a restore or the begin of the watch. A
-// balancer that does not watch the store relies on the watchers. b.mu must be held.
+// during an outage of the store, and until entryReturnDelay after an outage or a restore. A balancer that does not watch
+// the store relies on the watchers. b.mu must be held.
 func (b *Balancer) agentsComplete(now time.Time) bool {
 	switch {
 	case b.list.revision.Number == 0:
