review: Show flows reset after a host's restart under a changed clock

A host that starts again after its clock was set back has an earlier born than the start before. The agent refuses its check-ins, still gives it new flows, and resets them 6 s later when it takes the second start for new.

--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -181,7 +181,7 @@
 	}
 }
 
-// awaitReset waits for a reset on the idle flow.
+// resetReceived reports whether a reset has arrived on the idle flow.
 func (fl *callerFlow) resetReceived() bool {
 	for {
 		select {
--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -15,6 +15,9 @@
 // heartbeatInterval is how often a host sends a check-in (heartbeat_ms).
 const heartbeatInterval = 1200 * time.Millisecond
 
+// workTime is how long a host works on a request.
+const workTime = 10 * time.Millisecond
+
 // host plays one start of a host: it answers packets, runs requests, serves its health
 // path over TCP and sends check-ins to the agent on its machine.
 type host struct {
@@ -31,8 +34,6 @@
 	// mu guards the fields below.
 	mu    sync.Mutex
 	flows map[netip.AddrPort]*hostFlow
-	// ran counts the runs of each request.
-	ran map[string]int
 	// lastBeat is when the last check-in was acknowledged.
 	lastBeat time.Time
 	sequence int
@@ -55,7 +56,7 @@
 func (m *machine) startHost(clock time.Duration) (h *host, err error) {
 	h = &host{
 		f: m.f, machine: m, id: fmt.Sprintf("i-%08x", rand.Uint32()), born: time.Now().Add(clock).UnixMilli(),
-		stopped: make(chan struct{}), flows: make(map[netip.AddrPort]*hostFlow), ran: make(map[string]int),
+		stopped: make(chan struct{}), flows: make(map[netip.AddrPort]*hostFlow),
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	app := netip.AddrPortFrom(m.address, m.f.appPort)
@@ -198,17 +199,30 @@
 	}
 	if s.seq == fl.received {
 		fl.received += uint32(len(s.data))
+		fl.answer = nil
 		id := requestID(s.data)
-		h.ran[id]++
 		h.f.record.logf("host %s %s ran request %s of flow %d", h.machine.name, h.id, id, s.src.Port())
 		body := "done " + id
 		data := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n%s", h.id, len(body), body)
-		fl.answer = segment{src: s.dst, dst: s.src, flags: flagACK, seq: fl.next, ack: fl.received, data: []byte(data)}.encode()
+		answer := segment{src: s.dst, dst: s.src, flags: flagACK, seq: fl.next, ack: fl.received, data: []byte(data)}.encode()
 		fl.next += uint32(len(data))
+		time.AfterFunc(workTime, func() { h.finish(fl, answer) })
+		return nil
+	}
+	if fl.answer == nil {
+		return nil
 	}
 	return [][]byte{fl.answer}
 }
 
+// finish sends the answer to a request after the work on it.
+func (h *host) finish(fl *hostFlow, answer []byte) {
+	h.mu.Lock()
+	fl.answer = answer
+	h.mu.Unlock()
+	_, _ = h.conn.WriteToUDPAddrPort(answer, netip.AddrPortFrom(h.machine.address, h.f.outboundPort))
+}
+
 // holds reports whether the host holds the open flow of a caller's port.
 func (h *host) holds(caller netip.AddrPort) bool {
 	h.mu.Lock()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,7 +31,9 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
+	"agent-clock":   playAgentClock,
 	"agent-restart": playAgentRestart,
+	"host-clock":    playHostClock,
 }
 
 func main() {
