--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -141,7 +141,7 @@
 			})
 		}
 	}
-	value, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{}, "limits": map[string]any{"idle_timeout_ms": 30_000}})
+	value, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": []any{}, "limits": map[string]any{"idle_timeout_ms": 15_000}})
 	if err != nil {
 		panic(err)
 	}
