review: Show flows reset by a check-in with missing fields

An agent takes a check-in without zone, version and cold_left_ms for a new start of its host and resets the flows of the host.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -35,6 +35,7 @@
 	"agent-restart": playAgentRestart,
 	"config-copy":   playConfigCopy,
 	"host-clock":    playHostClock,
+	"odd-check-in":  playOddCheckIn,
 }
 
 func main() {
