review: Restart the agents of case 1 at no chosen moment

Restarts just after a check-in show the fault every time, but an operator does not choose the moment.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -33,6 +33,7 @@
 var scenarios = map[string]scenario{
 	"agent-clock":   playAgentClock,
 	"agent-restart": playAgentRestart,
+	"agent-roll":    playAgentRoll,
 	"config-copy":   playConfigCopy,
 	"host-clock":    playHostClock,
 	"odd-check-in":  playOddCheckIn,
