--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,7 +11,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
+	"syscall"
 	"time"
 )
 
@@ -73,6 +75,13 @@
 		os.Exit(exitNotRun)
 	})
 	defer watchdog.Stop()
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		r.logf("not run: %v", <-interrupts)
+		f.killAll()
+		os.Exit(exitNotRun)
+	}()
 	violations, err := scenarios[name](f, trouble)
 	if err != nil {
 		r.logf("not run: %v", err)
