packet: Label packets with the class of their route

An agent can only order the requests of its host if it has their priority, latency objective and timeout, which are in the balancers' configuration. Routes now have the timeout of the configuration.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -200,7 +200,7 @@
 	for _, decision := range decisions {
 		switch d := decision.(type) {
 		case dispatch.Forward:
-			b.config.Codec.SetLabel(d.Data, packet.Label{ServiceTag: d.ServiceTag, Probe: d.Step == dispatch.StepSearch, Late: d.Late})
+			b.config.Codec.SetLabel(d.Data, packet.Label{ServiceTag: d.ServiceTag, Probe: d.Step == dispatch.StepSearch, Late: d.Late, Class: b.core.Routes().RequestClass(d.Flow.Destination())})
 			b.packetSocket.Send(netip.AddrPortFrom(d.Agent, b.config.PacketPort), d.Data)
 			b.config.Metrics.Counter("packets.forwarded." + string(d.Step)).Inc(1)
 			if d.Step != dispatch.StepOwner {
--- a/internal/segment/packet/packet.go
+++ b/internal/segment/packet/packet.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"agateramp/internal/core/flow"
 )
@@ -88,6 +89,24 @@
 	// Late marks a first packet whose flow will miss the latency objective of its
 	// first request. The agent accepts such a flow only if a slot of its host is free.
 	Late bool
+	// Class describes the requests of the flow.
+	Class RequestClass
+}
+
+// RequestClass describes the requests of a route, as the balancer's configuration has it.
+type RequestClass struct {
+	// Known is set if the balancer has a route for the packet and labels packets with
+	// its class. If not, the other fields are zero.
+	Known bool
+	// Priority is the priority of the route; 0 is the highest. A codec may lower it to the
+	// lowest that it can encode.
+	Priority int
+	// LatencyObjective is the time within which a request should be answered; zero means
+	// that there is none.
+	LatencyObjective time.Duration
+	// Timeout is the time after which callers give a request up; zero means that it is not
+	// known.
+	Timeout time.Duration
 }
 
 // FlowName returns the name under which every process logs a flow:
--- a/internal/segment/routes/routes.go
+++ b/internal/segment/routes/routes.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"agateramp/internal/segment/packet"
 )
 
 // Target is a service that gets a share of the new flows of a route.
@@ -30,6 +32,8 @@
 	// LatencyObjective is the time within which a request should be answered. If zero,
 	// the route has no objective.
 	LatencyObjective time.Duration
+	// Timeout is the time after which callers give a request up. If zero, it is not known.
+	Timeout time.Duration
 	// Priority orders the flows that wait while all hosts are full; 0 is the highest.
 	Priority int
 }
@@ -126,6 +130,16 @@
 	return s.routes[address]
 }
 
+// RequestClass returns the class of the requests to an address. If the address has no
+// route, the class is not known.
+func (s *Set) RequestClass(address netip.AddrPort) packet.RequestClass {
+	r := s.Route(address)
+	if r == nil {
+		return packet.RequestClass{}
+	}
+	return packet.RequestClass{Known: true, Priority: r.Priority, LatencyObjective: r.LatencyObjective, Timeout: r.Timeout}
+}
+
 // PickService returns the service for a new flow with the given hash, or "" if the
 // route has no targets. The choice depends on the hash alone, so that retransmissions
 // of a flow's first packet go to the same service.
