--- a/internal/segment/hostqueue/hostqueue.go
+++ b/internal/segment/hostqueue/hostqueue.go
@@ -53,7 +53,8 @@
 type Host struct {
 	// Limit is the number of requests that the host takes well at once.
 	Limit int
-	// InProgress is the number of requests that the host has not answered, with those that are about to be delivered.
+	// InProgress is the number of requests that the host has got and not answered. For Wait, it includes those of accepted
+	// opening packets that have not arrived yet.
 	InProgress int
 	// Latency is the expected time from the delivery of a request to its answer.
 	Latency time.Duration
