dispatch: Review waiting flows by the configuration in force

Copies, queued and returned opening packets, hedges, searches and buffered packets were sent by the configuration that they were decided under.

A copy for a host of another service is dropped as other_service.

--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -63,6 +63,9 @@
 	// ReasonNotFound means that a search has not found the flow, but that a host whose
 	// agent was not asked or has not denied the flow may hold it.
 	ReasonNotFound Reason = "not_found"
+	// ReasonOtherService means that a retransmission of the first packet arrived for a
+	// flow whose host is not of the service that the configuration names for the flow now.
+	ReasonOtherService Reason = "other_service"
 	// ReasonNoStatus means that the agent of the flow's host returned the packet because
 	// of its label: it has not sent its status yet, so its service is not known.
 	ReasonNoStatus Reason = "no_status"
@@ -130,9 +133,12 @@
 func (Search) decision()  {}
 func (Lookup) decision()  {}
 
-// isOffer reports whether the step offers a flow to a host of the service that the
-// flow is for. Packets of other steps go to the host of the agent whichever service
-// it belongs to.
+// isOffer reports whether the step offers a flow to a host that has not answered it.
 func (s Step) isOffer() bool {
 	return s == StepOffer || s == StepNextOffer || s == StepHedge || s == StepQueued
 }
+
+// sendsFirstPacket reports whether the step sends a first packet. It goes only to hosts
+// of the service that the flow is for. Packets of other steps go to the host of the agent
+// whichever service it belongs to.
+func (s Step) sendsFirstPacket() bool { return s.isOffer() || s == StepRepeat }
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -119,7 +119,8 @@
 }
 
 // SetRoutes puts a configuration in force if its version is higher than that of the
-// current one. It reports whether it did.
+// current one. It reports whether it did. Each flow that waits is reviewed by it before
+// the next packet or lookup of the flow is sent.
 func (d *Dispatcher) SetRoutes(set *routes.Set) (applied bool) {
 	if set.Version() <= d.routes.Version() {
 		return false
@@ -148,11 +149,8 @@
 	if s.IsFirstPacket() {
 		return d.handleFirstPacket(now, key, e, s)
 	}
-	if d.routes.Route(s.Destination) == nil && d.removedAddresses[s.Destination] {
-		if e == nil {
-			return []Decision{Reset{Flow: key, Sequence: s.Acknowledgement, Reason: ReasonRouteRemoved}}
-		}
-		return d.reset(e, s.Acknowledgement, ReasonRouteRemoved)
+	if e == nil && d.routeRemoved(s.Destination) {
+		return []Decision{Reset{Flow: key, Sequence: s.Acknowledgement, Reason: ReasonRouteRemoved}}
 	}
 	if e == nil {
 		e = &flowEntry{key: key}
@@ -163,7 +161,7 @@
 }
 
 // handleFirstPacket decides on the first packet of a flow or a retransmission of it.
-// e is the entry of the flow key, or nil.
+// e is the entry of the flow key, or nil. The review in offer gives a new flow its service.
 func (d *Dispatcher) handleFirstPacket(now time.Time, key flow.Key, e *flowEntry, s *packet.Segment) (decisions []Decision) {
 	if e != nil && e.firstKnown && e.firstSequence == s.Sequence {
 		return d.handleRetransmission(now, e, s)
@@ -175,28 +173,32 @@
 		}
 		return []Decision{Reset{Flow: key, Reason: ReasonNoRoute}}
 	}
-	service := route.PickService(key.Hash())
-	e = &flowEntry{key: key, phase: phaseOpening, firstSequence: s.Sequence, firstKnown: true, serviceTag: packet.ServiceTag(service), priority: route.Priority}
+	e = &flowEntry{key: key, phase: phaseOpening, firstSequence: s.Sequence, firstKnown: true}
 	// Callers number the retransmissions of a first packet in its acknowledgement field.
 	e.firstSentAt = now.Add(-retransmissionDelays[min(s.Acknowledgement, lastRetransmission)])
-	if route.LatencyObjective > 0 {
-		e.lateAfter = e.firstSentAt.Add(route.LatencyObjective / 2)
-	}
 	d.flows.put(now, e)
 	return d.offer(now, e, s.Data, StepOffer)
 }
 
 // handleRetransmission decides on a retransmission of the first packet of a known
 // flow. It goes to the host that owns the flow or has answered; if there is none and
-// the flow is not queued, the packet is offered to hosts anew.
+// the flow is not queued, the packet is offered to hosts anew. The answer of a host whose
+// service the route no longer names does not count.
 func (d *Dispatcher) handleRetransmission(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
-	switch {
-	case e.phase == phaseEstablished:
+	if reset := d.review(e, 0); reset != nil {
+		return reset
+	}
+	switch e.phase {
+	case phaseEstablished:
 		return d.forward(e, e.owner, StepRepeat, s.Data)
-	case e.phase == phaseQueued:
+	case phaseQueued:
 		return []Decision{Drop{Flow: e.key, Reason: ReasonQueued}}
-	case len(e.answers) > 0:
-		return d.forward(e, e.answers[0].agent, StepRepeat, s.Data)
+	case phaseOpening, phaseSearching, phaseNotFound:
+	}
+	for _, a := range e.answers {
+		if d.mayOpenAt(e, a.agent) {
+			return d.forward(e, a.agent, StepRepeat, s.Data)
+		}
 	}
 	e.triedAgents, e.returnedOffers = nil, 0
 	return d.offer(now, e, s.Data, StepOffer)
@@ -205,6 +207,9 @@
 // offer offers a first packet to the next host. If no host is left, offer waits for
 // the hosts that have not answered yet, queues the flow, or resets it.
 func (d *Dispatcher) offer(now time.Time, e *flowEntry, data []byte, step Step) (decisions []Decision) {
+	if reset := d.review(e, 0); reset != nil {
+		return reset
+	}
 	var a *agent
 	e.late = e.missesObjective(now)
 	if len(e.triedAgents) < maxOffers {
@@ -230,24 +235,11 @@
 	return d.reset(e, 0, ReasonRefused)
 }
 
-// forward returns the decision to send a packet to an agent. Offers carry the tag of
-// the service that the flow is for; other packets carry that of the service that the
-// agent reports, if the agent is known.
-func (d *Dispatcher) forward(e *flowEntry, agent netip.Addr, step Step, data []byte) (decisions []Decision) {
-	f := Forward{Flow: e.key, Agent: agent, ServiceTag: e.serviceTag, Step: step, Late: e.late && step.isOffer(), Data: data}
-	a := d.agents[agent]
-	if a == nil {
-		return []Decision{f}
-	}
-	f.LastMessageAt = a.lastMessageAt
-	if !step.isOffer() {
-		f.ServiceTag = a.serviceTag
-	}
-	return []Decision{f}
-}
-
 // handleLaterPacket decides on a packet of a known flow that is not a first packet.
 func (d *Dispatcher) handleLaterPacket(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
+	if reset := d.review(e, s.Acknowledgement); reset != nil {
+		return reset
+	}
 	switch e.phase {
 	case phaseEstablished:
 		if e.isOtherFlow(s) {
@@ -300,108 +292,3 @@
 	}
 	return netip.Addr{}, false
 }
-
-// HandleAccepted records an agent's report that its host holds a flow. If handshake
-// is set, the host has just answered the first packet, and sequence is its initial
-// sequence number; as other hosts may have answered as well, the caller's next
-// acknowledgement determines the owner. For the first answer to a first packet that
-// came through this balancer, placementTime is the time since the caller sent that
-// packet; otherwise it is 0.
-func (d *Dispatcher) HandleAccepted(now time.Time, agent netip.Addr, key flow.Key, sequence uint32, handshake bool, l packet.Load) (placementTime time.Duration, decisions []Decision) {
-	d.recordMessage(now, agent, l)
-	e := d.flows.byKey[key]
-	if e == nil {
-		e = &flowEntry{key: key, phase: phaseOpening}
-		d.flows.put(now, e)
-	}
-	if !handshake {
-		return 0, d.establish(e, agent)
-	}
-	if e.phase == phaseEstablished {
-		return 0, nil
-	}
-	if e.firstKnown && len(e.answers) == 0 {
-		placementTime = now.Sub(e.firstSentAt)
-	}
-	// The host may have room for a queued flow, so the next Tick offers one.
-	d.queue.nextReleaseAt = now
-	if e.phase == phaseOpening || e.phase == phaseQueued {
-		e.deadline, e.firstPacket = time.Time{}, nil
-	}
-	if e.phase == phaseQueued {
-		// A host that was offered the flow before it was queued has accepted it.
-		e.phase = phaseOpening
-	}
-	for i := range e.answers {
-		if e.answers[i].agent == agent {
-			e.answers[i].sequence = sequence
-			return placementTime, nil
-		}
-	}
-	e.answers = append(e.answers, answer{agent: agent, sequence: sequence})
-	return placementTime, nil
-}
-
-// HandleReturned decides on a packet of a caller that an agent returned. As for
-// HandlePacket, the decisions refer to s.Data.
-func (d *Dispatcher) HandleReturned(now time.Time, from netip.Addr, s *packet.Segment, reason packet.ReturnReason, l packet.Load) (decisions []Decision) {
-	a := d.recordMessage(now, from, l)
-	switch {
-	case a == nil:
-	case reason == packet.ReturnDraining:
-		a.status.State = packet.HostDraining
-	}
-	key := s.KeyFromCaller()
-	e := d.flows.get(now, key)
-	if reason == packet.ReturnBusy && a != nil {
-		a.markFull(now, e != nil && e.late)
-	}
-	if e == nil {
-		return []Decision{Drop{Flow: key, Reason: ReasonForgotten}}
-	}
-	if s.IsFirstPacket() {
-		if e.phase != phaseOpening || e.firstSequence != s.Sequence || !e.wasTried(a) {
-			return []Decision{Drop{Flow: key, Reason: ReasonForgotten}}
-		}
-		e.returnedOffers++
-		if e.lastTried() != a && e.returnedOffers < len(e.triedAgents) {
-			return nil
-		}
-		return d.offer(now, e, s.Data, StepNextOffer)
-	}
-	// The label of packets to an agent without a status names no service.
-	mislabelled := reason == packet.ReturnWrongService && a != nil && !a.statusKnown
-	if mislabelled && e.phase == phaseEstablished {
-		return []Decision{Drop{Flow: key, Reason: ReasonNoStatus}}
-	}
-	notHeld := reason == packet.ReturnNotHeld || reason == packet.ReturnWrongService && !mislabelled
-	if notHeld && a != nil {
-		e.addDenial(now, a)
-	}
-	switch {
-	case e.phase == phaseEstablished && e.owner == from && notHeld:
-		// A flow never moves to another host, so no other one holds it.
-		return d.reset(e, s.Acknowledgement, ReasonHostLost)
-	case e.phase == phaseEstablished && e.owner != from:
-		// The owner became known while the packet was in transit.
-		return d.forward(e, e.owner, StepOwner, s.Data)
-	case e.phase == phaseSearching && e.probing && e.lastTried() == a:
-		return d.continueSearch(now, e)
-	case e.phase == phaseSearching && a != nil:
-		return d.recordReply(now, e, a)
-	case e.phase == phaseSearching:
-		return nil
-	case e.phase == phaseNotFound && e.onlyCandidate != nil && e.onlyCandidate == a:
-		e.onlyCandidate = nil
-	case e.phase == phaseNotFound:
-		return []Decision{Drop{Flow: key, Reason: ReasonNotFound}}
-	}
-	return d.startSearch(now, e, s)
-}
-
-// reset returns the decision to reset a flow at its caller, and removes the entry of
-// the flow.
-func (d *Dispatcher) reset(e *flowEntry, sequence uint32, reason Reason) (decisions []Decision) {
-	d.flows.remove(e)
-	return []Decision{Reset{Flow: e.key, Sequence: sequence, Reason: reason}}
-}
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -38,10 +38,13 @@
 // flowEntry is what a balancer remembers of a flow. If it is lost, the next packet
 // of the flow starts a search.
 type flowEntry struct {
-	key flow.Key
+	key   flow.Key
+	phase phase
+	// version is the version of the configuration that the flow was last reviewed by, or 0
+	// before the first review.
+	version uint64
 	// serviceTag is the tag of the service that the flow is offered to.
 	serviceTag uint32
-	phase      phase
 	// If firstKnown is set, firstSequence is the sequence number of the first packet
 	// and firstSentAt is about when the caller sent it.
 	firstSequence uint32
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -63,50 +63,6 @@
 	return d.startRound(now)
 }
 
-// startRound returns the lookups for the flows that wait for a round, with the flows
-// for each agent in as few lookups as possible.
-func (d *Dispatcher) startRound(now time.Time) (decisions []Decision) {
-	waiting := d.lookups.waiting
-	d.lookups.waiting = nil
-	if len(waiting) == 0 {
-		return nil
-	}
-	d.lookups.nextAt = now.Add(lookupInterval)
-	flowsByAgent := make(map[*agent][]*flowEntry)
-	for _, e := range waiting {
-		if e.phase != phaseSearching || e.probing || d.flows.byKey[e.key] != e {
-			continue
-		}
-		agents := d.candidates(now, e)
-		if len(agents) == 0 && e.scope == scopeRoute {
-			e.scope = scopeOthers
-			agents = d.candidates(now, e)
-		}
-		if len(agents) == 0 {
-			decisions = append(decisions, d.continueSearch(now, e)...)
-			continue
-		}
-		for _, a := range agents {
-			flowsByAgent[a] = append(flowsByAgent[a], e)
-		}
-		// A silent agent is asked, but its reply is not awaited. If all agents are silent,
-		// the round ends at its deadline.
-		e.awaitedAgents = slices.DeleteFunc(agents, func(a *agent) bool { return d.silent(now, a) })
-		d.setDeadline(e, now.Add(searchTimeout))
-		decisions = append(decisions, Search{Flow: e.key, Agents: len(agents)})
-	}
-	for _, a := range d.agentList {
-		for entries := range slices.Chunk(flowsByAgent[a], maxLookupFlows) {
-			l := Lookup{Agent: a.address}
-			for _, e := range entries {
-				l.Flows, l.Acknowledgements = append(l.Flows, e.key), append(l.Acknowledgements, e.acknowledgement)
-			}
-			decisions = append(decisions, l)
-		}
-	}
-	return decisions
-}
-
 // candidates returns the agents in the scope of the search that have not denied the
 // flow.
 func (d *Dispatcher) candidates(now time.Time, e *flowEntry) (agents []*agent) {
@@ -171,6 +127,9 @@
 // probe: another probe, a round with the wider scope, or the end of the search
 // without an owner.
 func (d *Dispatcher) continueSearch(now time.Time, e *flowEntry) (decisions []Decision) {
+	if reset := d.review(e, e.acknowledgement); reset != nil {
+		return reset
+	}
 	if a := d.nextProbe(now, e); a != nil {
 		return d.probe(now, e, a)
 	}
@@ -186,10 +145,7 @@
 	if e.onlyCandidate = d.onlyCandidate(now, e); e.onlyCandidate == nil {
 		return []Decision{Drop{Flow: e.key, Reason: ReasonNotFound}}
 	}
-	for _, data := range buffered[e.probesSentTo(e.onlyCandidate.address):] {
-		decisions = append(decisions, d.forward(e, e.onlyCandidate.address, StepSearch, data)...)
-	}
-	return decisions
+	return d.forward(e, e.onlyCandidate.address, StepSearch, buffered[e.probesSentTo(e.onlyCandidate.address):]...)
 }
 
 // nextProbe returns the next agent to probe, or nil. Agents early in the rendezvous
@@ -216,10 +172,7 @@
 	d.setDeadline(e, now.Add(searchTimeout))
 	count := min(len(e.buffered), probePackets)
 	e.probesSent = append(e.probesSent, count)
-	for _, data := range e.buffered[:count] {
-		decisions = append(decisions, d.forward(e, a.address, StepSearch, data)...)
-	}
-	return decisions
+	return d.forward(e, a.address, StepSearch, e.buffered[:count]...)
 }
 
 // onlyCandidate returns the agent that was probed and has not returned the packets, if
@@ -272,10 +225,7 @@
 	buffered := d.flows.takeBuffered(e)
 	buffered = buffered[min(len(buffered), e.probesSentTo(owner)):]
 	e.setOwner(owner)
-	for _, data := range buffered {
-		decisions = append(decisions, d.forward(e, owner, StepOwner, data)...)
-	}
-	return decisions
+	return d.forward(e, owner, StepOwner, buffered...)
 }
 
 // routeServiceTags returns the tags of the services that the flow's route names, and
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -71,19 +71,15 @@
 	if len(d.queue.waiting) == 0 || now.Before(d.queue.nextReleaseAt) {
 		return nil
 	}
-	waiting := d.queue.waiting
-	d.queue.waiting = nil
 	d.queue.nextReleaseAt = now.Add(fullBackoff)
-	for _, e := range waiting {
-		e.late = e.missesObjective(now)
-	}
+	waiting, decisions := d.takeQueued(now)
 	capacities := make(map[uint32]*serviceCapacity)
 	if d.checkCapacity(now, waiting, capacities) {
 		slices.SortStableFunc(waiting, compareUrgency)
 	}
 	var stillQueued []*flowEntry
 	for _, e := range waiting {
-		if e.phase != phaseQueued || d.flows.byKey[e.key] != e {
+		if !d.isQueued(e) {
 			continue
 		}
 		c := capacities[e.serviceTag]
@@ -108,6 +104,29 @@
 	return decisions
 }
 
+// takeQueued empties the queue. It returns the flows that wait, and the decisions to reset
+// those whose route was removed.
+func (d *Dispatcher) takeQueued(now time.Time) (waiting []*flowEntry, decisions []Decision) {
+	for _, e := range d.queue.waiting {
+		if !d.isQueued(e) {
+			continue
+		}
+		if reset := d.review(e, 0); reset != nil {
+			decisions = append(decisions, reset...)
+			continue
+		}
+		e.late = e.missesObjective(now)
+		waiting = append(waiting, e)
+	}
+	d.queue.waiting = nil
+	return waiting, decisions
+}
+
+// isQueued reports whether an entry of the queue still waits.
+func (d *Dispatcher) isQueued(e *flowEntry) bool {
+	return e.phase == phaseQueued && d.flows.byKey[e.key] == e
+}
+
 // serviceCapacity is what the hosts of a service can accept of the queued flows.
 type serviceCapacity struct {
 	// Flows whose first packet was sent at expiredBefore or earlier have waited for too
@@ -193,7 +212,7 @@
 	waiting := d.queue.waiting
 	d.queue.waiting = nil
 	for _, e := range waiting {
-		if e.phase == phaseQueued && d.flows.byKey[e.key] == e {
+		if d.isQueued(e) {
 			decisions = append(decisions, d.reset(e, 0, ReasonStopping)...)
 		}
 	}
