balancer: Reset nothing by the first list unless it is shown complete

In the first 1.2 s of a process the list now counts as complete only by what others show: a balancer that ran before, whose agents this one has, by an equal hash or by its view; or, if there is none, hosts that have all just started, as after a loss of power of everything, where nothing is waited for. Digests say whether their sender is starting, and one without a list is answered at once. The agents in a view are added before its list is applied.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -108,6 +108,10 @@
 	// found to be restored; it is zero if neither has happened since the balancer began to watch it.
 	storeDown       bool
 	storeReturnedAt time.Time
+	// startedAt is when the balancer was started. agentsCompared is set once this balancer has had all agents of an
+	// established one, that is, one that had run for a while.
+	startedAt      time.Time
+	agentsCompared bool
 
 	// timerDueAt is when runTimer calls the dispatcher next.
 	timerDueAt time.Time
@@ -138,7 +142,7 @@
 	}
 	b = &Balancer{
 		config: c, core: core, decisions: logging.NewDecisionLog(c.Logger), peers: others,
-		timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16), digestWake: make(chan struct{}, 1),
+		startedAt: time.Now(), timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16), digestWake: make(chan struct{}, 1),
 	}
 	if b.packetSocket, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PacketPort), c.Metrics); err != nil {
 		return nil, err
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -55,16 +55,7 @@
 		b.execute(now, b.core.HandleReturned(now, from, &s, m.Reason, m.Load))
 		b.wakeTimer()
 	case message.Digest:
-		b.peers.HandleDigest(now, from, m)
-		b.requestNewerView(from, m.ConfigVersion)
-		if _, reachable := b.storeAge(now); !reachable && m.ListRevision.Compare(b.list.revision) > 0 {
-			b.requestView(from)
-		}
-		b.core.SetAgentListComplete(b.agentsComplete(now))
-		if m.Agents != b.hashAgents(now) && now.After(b.nextCompareAt) {
-			b.nextCompareAt = now.Add(minCompareInterval)
-			b.requestView(from)
-		}
+		b.handleDigest(now, from, m)
 	case message.Located:
 		b.execute(now, b.core.HandleLocated(now, from, m.Held, m.Denied, m.Unsure, m.Load))
 		b.wakeTimer()
@@ -83,6 +74,9 @@
 		logging.Line(level.Info(b.config.Logger), "event", "host_changed", "agent", from, "node", m.Node, "service", m.Service,
 			"state", m.State, "agent_stopping", m.Stopping)
 	}
+	if b.isStarting(now) {
+		b.core.SetAgentListComplete(b.agentsComplete(now))
+	}
 	for _, address := range m.Balancers {
 		b.peers.Add(now, address)
 	}
@@ -91,6 +85,34 @@
 	}
 }
 
+// handleDigest records the digest of another balancer, and requests the balancer's view if that has news. b.mu must be
+// held.
+func (b *Balancer) handleDigest(now time.Time, from netip.Addr, m message.Digest) {
+	b.peers.HandleDigest(now, from, m)
+	b.requestNewerView(from, m.ConfigVersion)
+	if _, reachable := b.storeAge(now); !reachable && m.ListRevision.Compare(b.list.revision) > 0 {
+		b.requestView(from)
+	}
+	b.compareAgents(now, from, m)
+	b.core.SetAgentListComplete(b.agentsComplete(now))
+	if m.ListRevision.Number == 0 && b.list.revision.Number != 0 {
+		// The sender has just started and waits for what others know.
+		b.sendMessage(from, b.digest(now))
+	}
+}
+
+// compareAgents requests the view of a balancer whose agents differ from those of this one. b.mu must be held.
+func (b *Balancer) compareAgents(now time.Time, from netip.Addr, m message.Digest) {
+	urgent := b.isStarting(now) && !b.agentsCompared && !m.Starting
+	switch {
+	case m.Agents == b.hashAgents(now):
+		b.agentsCompared = b.agentsCompared || !m.Starting
+	case urgent || now.After(b.nextCompareAt):
+		b.nextCompareAt = now.Add(minCompareInterval)
+		b.requestView(from)
+	}
+}
+
 // requestNewerView requests the view of a balancer if its configuration is newer than the one in force.
 // b.mu must be held.
 func (b *Balancer) requestNewerView(holder netip.Addr, version uint64) {
@@ -209,11 +231,7 @@
 	if len(targets) == 0 {
 		targets = slices.DeleteFunc(slices.Clone(b.config.Seeds), func(a netip.Addr) bool { return a == b.config.Address })
 	}
-	digest := message.Digest{
-		ConfigVersion: b.core.Routes().Version(), Agents: b.hashAgents(now), CPUPermille: b.config.CPUPermille,
-		ListRevision: b.list.revision, ListComplete: b.agentsComplete(now),
-	}
-	digest.StoreAge, digest.Watching = b.peers.StoreAge(now)
+	digest := b.digest(now)
 	wait = b.peers.DigestInterval()
 	b.mu.Unlock()
 	for _, address := range targets {
@@ -222,6 +240,16 @@
 	return wait
 }
 
+// digest returns the digest of this balancer. b.mu must be held.
+func (b *Balancer) digest(now time.Time) (d message.Digest) {
+	d = message.Digest{
+		ConfigVersion: b.core.Routes().Version(), Agents: b.hashAgents(now), CPUPermille: b.config.CPUPermille,
+		ListRevision: b.list.revision, ListComplete: b.agentsComplete(now), Starting: b.isStarting(now),
+	}
+	d.StoreAge, d.Watching = b.peers.StoreAge(now)
+	return d
+}
+
 func (b *Balancer) sendMessage(address netip.Addr, m message.Message) {
 	if err := b.peerSocket.SendMessage(netip.AddrPortFrom(address, b.config.PeerPort), m); err != nil {
 		logging.Line(level.Error(b.config.Logger), "event", "message_not_encoded", "err", err)
--- /dev/null
+++ b/internal/segment/balancer/start.go
@@ -0,0 +1,21 @@
+package balancer
+
+import "time"
+
+// isStarting reports whether the balancer started less than entryReturnDelay ago. Agents without an entry may not have
+// reported to it yet, and it cannot tell whether entries lapsed or were lost just before. b.mu must be held.
+func (b *Balancer) isStarting(now time.Time) bool { return now.Sub(b.startedAt) <= entryReturnDelay }
+
+// mayMissAgents reports whether agents may hold flows that neither the list nor a message has shown to this balancer,
+// because it is starting. That cannot be if it has the agents of an established balancer and the watchers have a complete
+// list. If no balancer is established, it cannot be if all hosts have just started too: then nothing has survived, and
+// callers would wait for resets in vain. b.mu must be held.
+func (b *Balancer) mayMissAgents(now time.Time) bool {
+	switch {
+	case !b.isStarting(now):
+		return false
+	case b.peers.AnyEstablished():
+		return !b.agentsCompared || !b.peers.ListIsComplete(now, b.list.revision)
+	}
+	return !b.core.HostsJustStarted()
+}
--- a/internal/segment/balancer/view.go
+++ b/internal/segment/balancer/view.go
@@ -146,18 +146,25 @@
 	if len(view.GetConfig()) > 0 {
 		b.applyConfig(view.GetConfig(), target.String())
 	}
+	agents := message.DecodeAddresses(view.GetAgents())
+	b.applyView(target, agents, message.DecodeAddresses(view.GetBalancers()))
 	if list := decodeList(view); list.revision.Compare(known) > 0 {
 		b.applyList(list, target.String())
 	}
+	logging.Line(level.Debug(b.config.Logger), "event", "view_read", "balancer", target, "config_version", view.GetConfigVersion(), "agents", len(agents))
+}
+
+// applyView adds the agents and balancers in a view. The list of agents in it is applied after them, so that it does not
+// count as complete without the agents that are not listed.
+func (b *Balancer) applyView(source netip.Addr, agents, balancers []netip.Addr) {
 	now := time.Now()
-	agents := message.DecodeAddresses(view.GetAgents())
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.core.AddAgents(now, agents)
-	for _, address := range message.DecodeAddresses(view.GetBalancers()) {
+	for _, address := range balancers {
 		b.peers.Add(now, address)
 	}
-	b.mu.Unlock()
-	logging.Line(level.Debug(b.config.Logger), "event", "view_read", "balancer", target, "config_version", view.GetConfigVersion(), "agents", len(agents))
+	b.agentsCompared = b.agentsCompared || b.peers.IsEstablished(source)
 }
 
 func encodeList(list agentList) (agents []*datapathpb.ListedAgent) {
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -140,11 +140,11 @@
 }
 
 // agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
-// during an outage of the store, and until entryReturnDelay after an outage or a restore. A balancer that does not watch
-// the store relies on the watchers. b.mu must be held.
+// during an outage of the store, until entryReturnDelay after an outage or a restore, and while mayMissAgents holds. A
+// balancer that does not watch the store relies on the watchers. b.mu must be held.
 func (b *Balancer) agentsComplete(now time.Time) bool {
 	switch {
-	case b.list.revision.Number == 0:
+	case b.list.revision.Number == 0 || b.mayMissAgents(now):
 		return false
 	case !b.watching:
 		return b.peers.ListIsComplete(now, b.list.revision)
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -67,8 +67,10 @@
 	lastMessageAt time.Time
 	// addedAt is when the agent became known to this balancer.
 	addedAt time.Time
-	// coldUntil is when the host reaches its usual speed after its start.
+	// coldUntil is when the host reaches its usual speed after its start. startSeen is set
+	// if a status has shown the host before that.
 	coldUntil time.Time
+	startSeen bool
 	// offersSinceReport counts the offers since the last load report, and
 	// unansweredOffers the consecutive offers without an answer.
 	offersSinceReport, unansweredOffers int
@@ -173,6 +175,7 @@
 	}
 	a.statusKnown, a.lastMessageAt, a.status = true, now, s
 	a.coldUntil = now.Add(s.ColdRemaining)
+	a.startSeen = a.startSeen || s.ColdRemaining > 0
 	a.offersSinceReport, a.unansweredOffers = 0, 0
 	return changed
 }
@@ -244,6 +247,22 @@
 	return addresses
 }
 
+// HostsJustStarted reports whether the hosts of all known agents had just started when
+// their agents first reported them, except for those that are gone. Right after the start
+// of a balancer, no host holds a flow from before then.
+func (d *Dispatcher) HostsJustStarted() bool {
+	anyStarted := false
+	for _, a := range d.agentList {
+		switch {
+		case a.statusKnown && a.startSeen:
+			anyStarted = true
+		case !a.statusKnown || a.status.State != packet.HostGone:
+			return false
+		}
+	}
+	return anyStarted
+}
+
 // IsListed reports whether the store lists an agent.
 func (d *Dispatcher) IsListed(address netip.Addr) bool {
 	a := d.agents[address]
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -104,6 +104,8 @@
 	StoreAge time.Duration
 	// CPUPermille is the share of a processor core that the sender may use, in thousandths.
 	CPUPermille int
+	// Starting is set shortly after the sender's start, while agents that run may not have reported to it yet.
+	Starting bool
 }
 
 // UnknownAge is the age of data from a source that does not respond.
@@ -208,6 +210,7 @@
 	return &datapathpb.Digest{
 		ConfigVersion: m.ConfigVersion, Agents: m.Agents, ListRevision: uint64(m.ListRevision.Number), ListGeneration: m.ListRevision.Generation, ListComplete: m.ListComplete,
 		Watching: m.Watching, StoreAgeMs: uint32(min(m.StoreAge, UnknownAge).Milliseconds()), CpuPermille: uint32(m.CPUPermille),
+		Starting: m.Starting,
 	}
 }
 
@@ -216,6 +219,7 @@
 		ConfigVersion: pb.GetConfigVersion(), Agents: pb.GetAgents(), ListComplete: pb.GetListComplete(),
 		ListRevision: store.Revision{Generation: pb.GetListGeneration(), Number: int64(pb.GetListRevision())},
 		Watching:     pb.GetWatching(), StoreAge: time.Duration(pb.GetStoreAgeMs()) * time.Millisecond, CPUPermille: int(pb.GetCpuPermille()),
+		Starting: pb.GetStarting(),
 	}
 }
 
--- a/internal/segment/peers/peers.go
+++ b/internal/segment/peers/peers.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// IsEstablished reports whether a balancer has sent a digest and was not starting then.
+func (s *Set) IsEstablished(address netip.Addr) bool {
+	p := s.byAddress[address]
+	return p != nil && p.isEstablished()
+}
+
+// AnyEstablished reports whether IsEstablished holds for any balancer.
+func (s *Set) AnyEstablished() bool {
+	for _, p := range s.byAddress {
+		if p.isEstablished() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *peer) isEstablished() bool { return !p.digestAt.IsZero() && !p.digest.Starting }
+
 // Expire removes the balancers that have sent no digest for too long.
 func (s *Set) Expire(now time.Time) {
 	ttl := max(minTTL, time.Duration(ttlIntervals*float64(s.quietInterval())))
