dispatch: Reset answered flows of removed routes in their window

A copy of an opening packet whose route was removed after a host had answered was reset with sequence number 0. The answer goes to the caller without passing the balancer, so the flow may be open at the caller by then, and 0 is outside of its window.

The reset now carries what the caller acknowledges of the first answer, as long as no acknowledgement of the caller is known. TestResetAfterAnswer failed with the code before this commit (sequence 0 in place of 5001).

--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -120,6 +120,16 @@
 	return e.triedAgents[len(e.triedAgents)-1]
 }
 
+// resetSequence returns the sequence number for a reset of the flow: the caller's last
+// acknowledgement or, before the first, what the caller acknowledges of the first answer.
+// It is 0 if no host has answered.
+func (e *flowEntry) resetSequence() uint32 {
+	if e.acknowledgement == 0 && len(e.answers) > 0 {
+		return e.answers[0].sequence + 1
+	}
+	return e.acknowledgement
+}
+
 // addDenial records that an agent has denied the flow.
 func (e *flowEntry) addDenial(now time.Time, a *agent) {
 	if len(e.deniedBy) == 0 {
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -127,7 +127,7 @@
 // probe: another probe, a round with the wider scope, or the end of the search
 // without an owner.
 func (d *Dispatcher) continueSearch(now time.Time, e *flowEntry) (decisions []Decision) {
-	if reset := d.review(e, e.acknowledgement); reset != nil {
+	if reset := d.review(e, 0); reset != nil {
 		return reset
 	}
 	if a := d.nextProbe(now, e); a != nil {
--- a/internal/segment/dispatch/send.go
+++ b/internal/segment/dispatch/send.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -13,17 +14,17 @@
 // no decision outlives the configuration that it was made under.
 
 // review checks a flow against the configuration in force, unless it was checked since
-// the configuration came into force. If the route of the flow was removed, review
-// returns the decision to reset the flow, with a sequence number for its caller, and
-// removes the entry; otherwise it returns nil. A flow that no host has accepted gets the
-// service, the priority and the latency objective that its route has now, and offers to
-// hosts of another service no longer count.
-func (d *Dispatcher) review(e *flowEntry, sequence uint32) (reset []Decision) {
+// the configuration came into force. If the route of the flow was removed, review returns
+// the decision to reset the flow and removes the entry; otherwise it returns nil. The
+// acknowledgement is that of the packet at hand, or 0 if there is none. A flow that no
+// host has accepted gets the service, the priority and the latency objective that its
+// route has now, and offers to hosts of another service no longer count.
+func (d *Dispatcher) review(e *flowEntry, acknowledgement uint32) (reset []Decision) {
 	if e.version == d.routes.Version() {
 		return nil
 	}
 	if d.routeRemoved(e.key.Destination()) {
-		return d.reset(e, sequence, ReasonRouteRemoved)
+		return d.reset(e, cmp.Or(acknowledgement, e.resetSequence()), ReasonRouteRemoved)
 	}
 	e.version = d.routes.Version()
 	route := d.routes.Route(e.key.Destination())
@@ -59,7 +60,7 @@
 // carry the tag of the service that the flow is for; other packets carry that of the
 // service that the agent reports, if the agent is known.
 func (d *Dispatcher) forward(e *flowEntry, agent netip.Addr, step Step, packets ...[]byte) (decisions []Decision) {
-	if reset := d.review(e, e.acknowledgement); reset != nil {
+	if reset := d.review(e, 0); reset != nil {
 		return reset
 	}
 	if step.sendsFirstPacket() && !d.mayOpenAt(e, agent) {
@@ -101,7 +102,7 @@
 		if e.phase != phaseSearching || e.probing || d.flows.byKey[e.key] != e {
 			continue
 		}
-		if reset := d.review(e, e.acknowledgement); reset != nil {
+		if reset := d.review(e, 0); reset != nil {
 			decisions = append(decisions, reset...)
 			continue
 		}
--- a/internal/segment/dispatch/version_test.go
+++ b/internal/segment/dispatch/version_test.go
@@ -203,6 +203,15 @@
 	}
 }
 
+// Guards against resets that the caller takes for another flow's: the host may have
+// answered, so that the flow is open at the caller when the reset arrives.
+func TestResetAfterAnswer(t *testing.T) {
+	b := newTestBalancer(t)
+	b.answerOffer(b.offerFlow())
+	b.is.True(b.SetRoutes(routeSet(t, 2, netip.AddrPort{}, otherAddr)))
+	b.is.Equal(b.sendCopy(), []Decision{Reset{Flow: opening.KeyFromCaller(), Sequence: 5001, Reason: ReasonRouteRemoved}})
+}
+
 // Guards against queued flows that keep the priority and the latency objective of an
 // earlier configuration.
 func TestQueueFollowsConfiguration(t *testing.T) {
