--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -38,10 +38,13 @@
 // flowEntry is what a balancer remembers of a flow. If it is lost, the next packet
 // of the flow starts a search.
 type flowEntry struct {
-	key flow.Key
+	key   flow.Key
+	phase phase
+	// version is the version of the configuration that the flow was last reviewed by, or 0
+	// before the first review.
+	version uint64
 	// serviceTag is the tag of the service that the flow is offered to.
 	serviceTag uint32
-	phase      phase
 	// If firstKnown is set, firstSequence is the sequence number of the first packet
 	// and firstSentAt is about when the caller sent it.
 	firstSequence uint32
@@ -117,6 +120,16 @@
 	return e.triedAgents[len(e.triedAgents)-1]
 }
 
+// resetSequence returns the sequence number for a reset of the flow: the caller's last
+// acknowledgement or, before the first, what the caller acknowledges of the first answer.
+// It is 0 if no host has answered.
+func (e *flowEntry) resetSequence() uint32 {
+	if e.acknowledgement == 0 && len(e.answers) > 0 {
+		return e.answers[0].sequence + 1
+	}
+	return e.acknowledgement
+}
+
 // addDenial records that an agent has denied the flow.
 func (e *flowEntry) addDenial(now time.Time, a *agent) {
 	if len(e.deniedBy) == 0 {
