--- a/internal/segment/packet/load.go
+++ b/internal/segment/packet/load.go
@@ -47,8 +47,8 @@
 	// Utilisation is the moving average of the share of Slots that requests occupy,
 	// from 0 to 1.
 	Utilisation float64
-	// Limit is the number of requests in progress that the host takes well, as its
-	// agent has learned; 0 means that it is not known.
+	// Limit is the number of requests in progress that the host takes well, estimated by
+	// its agent; 0 means that it is not known.
 	Limit int
 	// HeldRequests is the number of requests that wait at the agent until the host may
 	// get them. They are not part of OutstandingRequests.
