--- a/internal/segment/capacity/capacity.go
+++ b/internal/segment/capacity/capacity.go
@@ -227,6 +227,9 @@
 		e.quick++
 		return
 	}
+	if math.Abs(e.drift) < changeThreshold {
+		e.tail += (min(math.Exp(residual), maxTailFactor) - e.tail) * tailWeight
+	}
 	residual = min(max(residual, -maxResidual), maxResidual)
 	e.samples++
 	e.classes.observeMix(c)
@@ -249,9 +252,6 @@
 	if !token.trial {
 		e.followSlower(residual, span)
 	}
-	if math.Abs(e.drift) < changeThreshold {
-		e.tail += (min(math.Exp(residual), maxTailFactor) - e.tail) * tailWeight
-	}
 }
 
 // learned reports whether there are enough samples to change the limit. In the first ones short requests prevail if many
