--- a/internal/segment/capacity/capacity_test.go
+++ b/internal/segment/capacity/capacity_test.go
@@ -75,8 +75,12 @@
 		wait  time.Duration
 		off   float64 // by which the median may be off
 	}{
-		{1, 10 * time.Second, 1.3}, {1.0 / 3, 2 * time.Second, 1.5}, {1, 5 * time.Second, 1.3},
-		{0.6, 9 * time.Second, 1.3}, {1.6, 9 * time.Second, 1.3}, {8, 9 * time.Second, 1.3},
+		{1, 10 * time.Second, 1.3},
+		{1.0 / 3, 2 * time.Second, 1.5},
+		{1, 5 * time.Second, 1.3},
+		{0.6, 9 * time.Second, 1.3},
+		{1.6, 9 * time.Second, 1.3},
+		{8, 9 * time.Second, 1.3},
 	}
 	for _, slots := range []int{2, 5, 30} {
 		t.Run(fmt.Sprintf("slots=%d", slots), func(t *testing.T) {
