evacuation: Keep and encode the evacuated data centres

Balancers and agents need one answer to which data centres are evacuated, whatever way their knowledge comes by.

--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -16,6 +16,7 @@
 	"agateramp/internal/core/flow"
 	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/segment/datapathpb"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/packet"
 )
 
@@ -28,6 +29,8 @@
 	ConfigVersion uint64
 	// Unlisted is set if the store has no entry of the agent although the balancer's list of entries is current.
 	Unlisted bool
+	// Evacuations is the newest state that the balancer has. The zero value means that it does not report one.
+	Evacuations evacuation.State
 }
 
 // Status is an agent's report on itself and its host.
@@ -45,6 +48,9 @@
 	ConfigHolder  netip.Addr
 	// Stopping is set while the agent shuts down, usually for a restart.
 	Stopping bool
+	// Evacuations is the newest state that the agent has. The zero value means that it has none, or that the Hello which
+	// this answers had one that is as new.
+	Evacuations evacuation.State
 }
 
 // Accepted is an agent's notice to a balancer that its host holds a flow.
@@ -62,6 +68,8 @@
 	Reason packet.ReturnReason
 	Packet []byte
 	Load   packet.Load
+	// Evacuations is the newest state that the agent has. It is set only if Reason is packet.ReturnEvacuated.
+	Evacuations evacuation.State
 }
 
 // Lookup is the request of a balancer to an agent to say which of the given flows its host holds.
@@ -104,6 +112,8 @@
 	StoreAge time.Duration
 	// CPUPermille is the share of a processor core that the sender may use, in thousandths.
 	CPUPermille int
+	// Evacuations is the newest state that the sender has. The zero value means that it does not report one.
+	Evacuations evacuation.State
 }
 
 // UnknownAge is the age of data from a source that does not respond.
@@ -125,7 +135,9 @@
 	pb := &datapathpb.Message{}
 	switch m := m.(type) {
 	case Hello:
-		pb.Body = &datapathpb.Message_Hello{Hello: &datapathpb.Hello{ConfigVersion: m.ConfigVersion, Unlisted: m.Unlisted}}
+		pb.Body = &datapathpb.Message_Hello{Hello: &datapathpb.Hello{
+			ConfigVersion: m.ConfigVersion, Unlisted: m.Unlisted, Evacuations: m.Evacuations.Encode(),
+		}}
 	case Status:
 		pb.Body = &datapathpb.Message_Status{Status: encodeStatus(m)}
 	case Accepted:
@@ -134,7 +146,7 @@
 		}}
 	case Returned:
 		pb.Body = &datapathpb.Message_Returned{Returned: &datapathpb.Returned{
-			Reason: datapathpb.Reason(m.Reason), Packet: m.Packet, Load: encodeLoad(m.Load),
+			Reason: datapathpb.Reason(m.Reason), Packet: m.Packet, Load: encodeLoad(m.Load), Evacuations: m.Evacuations.Encode(),
 		}}
 	case Lookup:
 		pb.Body = &datapathpb.Message_Lookup{Lookup: &datapathpb.Lookup{Flows: encodeFlows(m.Flows), Acknowledgements: m.Acknowledgements}}
@@ -158,14 +170,17 @@
 	}
 	switch body := pb.GetBody().(type) {
 	case *datapathpb.Message_Hello:
-		return Hello{ConfigVersion: body.Hello.GetConfigVersion(), Unlisted: body.Hello.GetUnlisted()}, nil
+		h := body.Hello
+		return Hello{ConfigVersion: h.GetConfigVersion(), Unlisted: h.GetUnlisted(), Evacuations: evacuation.Decode(h.GetEvacuations())}, nil
 	case *datapathpb.Message_Status:
 		return decodeStatus(body.Status)
 	case *datapathpb.Message_Accepted:
 		return decodeAccepted(body.Accepted), nil
 	case *datapathpb.Message_Returned:
 		r := body.Returned
-		return Returned{Reason: packet.ReturnReason(r.GetReason()), Packet: r.GetPacket(), Load: decodeLoad(r.GetLoad())}, nil
+		return Returned{
+			Reason: packet.ReturnReason(r.GetReason()), Packet: r.GetPacket(), Load: decodeLoad(r.GetLoad()), Evacuations: evacuation.Decode(r.GetEvacuations()),
+		}, nil
 	case *datapathpb.Message_Lookup:
 		return Lookup{Flows: decodeFlows(body.Lookup.GetFlows()), Acknowledgements: body.Lookup.GetAcknowledgements()}, nil
 	case *datapathpb.Message_Located:
@@ -183,7 +198,7 @@
 	pb = &datapathpb.Status{
 		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: datapathpb.HostState(m.State),
 		Load: encodeLoad(m.Load), ColdMs: uint32(m.ColdRemaining.Milliseconds()), ConfigVersion: m.ConfigVersion, Stopping: m.Stopping,
-		Balancers: EncodeAddresses(m.Balancers),
+		Balancers: EncodeAddresses(m.Balancers), Evacuations: m.Evacuations.Encode(),
 	}
 	if m.ConfigHolder.Is4() {
 		pb.ConfigHolder = m.ConfigHolder.AsSlice()
@@ -200,7 +215,7 @@
 		Node: pb.GetNode(), Service: pb.GetService(), DataCentre: pb.GetDataCentre(), State: packet.HostState(pb.GetState()),
 		Load: decodeLoad(pb.GetLoad()), ColdRemaining: time.Duration(pb.GetColdMs()) * time.Millisecond,
 		Balancers: DecodeAddresses(pb.GetBalancers()), ConfigVersion: pb.GetConfigVersion(), ConfigHolder: configHolder,
-		Stopping: pb.GetStopping(),
+		Stopping: pb.GetStopping(), Evacuations: evacuation.Decode(pb.GetEvacuations()),
 	}, nil
 }
 
@@ -208,6 +223,7 @@
 	return &datapathpb.Digest{
 		ConfigVersion: m.ConfigVersion, Agents: m.Agents, ListRevision: uint64(m.ListRevision.Number), ListGeneration: m.ListRevision.Generation, ListComplete: m.ListComplete,
 		Watching: m.Watching, StoreAgeMs: uint32(min(m.StoreAge, UnknownAge).Milliseconds()), CpuPermille: uint32(m.CPUPermille),
+		Evacuations: m.Evacuations.Encode(),
 	}
 }
 
@@ -216,6 +232,7 @@
 		ConfigVersion: pb.GetConfigVersion(), Agents: pb.GetAgents(), ListComplete: pb.GetListComplete(),
 		ListRevision: store.Revision{Generation: pb.GetListGeneration(), Number: int64(pb.GetListRevision())},
 		Watching:     pb.GetWatching(), StoreAge: time.Duration(pb.GetStoreAgeMs()) * time.Millisecond, CPUPermille: int(pb.GetCpuPermille()),
+		Evacuations: evacuation.Decode(pb.GetEvacuations()),
 	}
 }
 
--- a/internal/segment/message/message_test.go
+++ b/internal/segment/message/message_test.go
@@ -9,6 +9,7 @@
 
 	"agateramp/internal/core/flow"
 	"agateramp/internal/keyvalue/store"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/packet"
 )
 
@@ -16,16 +17,19 @@
 
 func exampleMessages() []Message {
 	key := packet.NewKey(netip.MustParseAddrPort("100.64.0.7:40001"), netip.MustParseAddrPort("198.18.0.1:443"))
+	evacuations, _ := evacuation.New(store.Revision{Generation: 2, Number: 40}, []string{"north", "south"})
 	other := packet.NewKey(netip.MustParseAddrPort("100.64.0.8:1"), netip.MustParseAddrPort("198.18.0.1:443"))
 	return []Message{
-		Hello{ConfigVersion: 7, Unlisted: true},
+		Hello{ConfigVersion: 7, Unlisted: true, Evacuations: evacuations},
 		Status{
 			Node: "side-1", Service: "studio", DataCentre: "north", State: packet.HostDraining, Load: load, ColdRemaining: 1500 * time.Millisecond,
 			Balancers: []netip.Addr{netip.MustParseAddr("10.0.0.1")}, ConfigVersion: 9, ConfigHolder: netip.MustParseAddr("10.0.0.2"), Stopping: true,
+			Evacuations: evacuations,
 		},
 		Accepted{Flow: key, Sequence: 0xfffffffe, Handshake: true, Load: load},
 		Returned{Reason: packet.ReturnBusy, Packet: []byte{1, 2, 3}, Load: load},
-		Digest{ConfigVersion: 3, Agents: 1 << 63},
+		Returned{Reason: packet.ReturnEvacuated, Packet: []byte{1}, Load: load, Evacuations: evacuations},
+		Digest{ConfigVersion: 3, Agents: 1 << 63, Evacuations: evacuations},
 		Digest{ListRevision: store.Revision{Generation: 3, Number: 1 << 40}, ListComplete: true, Watching: true, StoreAge: 250 * time.Millisecond, CPUPermille: 88},
 		Digest{Watching: true, StoreAge: UnknownAge},
 		Lookup{Flows: []flow.Key{key, other}},
--- a/internal/segment/packet/load.go
+++ b/internal/segment/packet/load.go
@@ -68,12 +68,14 @@
 	ReturnWrongService
 	// ReturnBusy means that the host has reached its limit of outstanding requests.
 	ReturnBusy
+	// ReturnEvacuated means that the data centre of the host is evacuated.
+	ReturnEvacuated
 )
 
 // String returns the name of the reason as it appears in logs and metrics, and
 // "invalid" for a value without a name.
 func (r ReturnReason) String() string {
-	names := [...]string{"unspecified", "not_held", "refused", "no_host", "draining", "wrong_service", "busy"}
+	names := [...]string{"unspecified", "not_held", "refused", "no_host", "draining", "wrong_service", "busy", "evacuated"}
 	if int(r) >= len(names) {
 		return "invalid"
 	}
