dispatch: Offer no flow to hosts in an evacuated data centre

Every offer passes eligible, which now leaves these hosts out; copies go there only after an answer. If all hosts of a service are evacuated, first packets are reset at once, queued ones too.

--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -72,6 +72,8 @@
 	// offersSinceReport counts the offers since the last load report, and
 	// unansweredOffers the consecutive offers without an answer.
 	offersSinceReport, unansweredOffers int
+	// evacuated is set while status.DataCentre is evacuated.
+	evacuated bool
 	// Until fullUntil the host is assumed to have no room for any flow, and until
 	// fullForLateUntil to have no free slot for a late flow.
 	fullUntil, fullForLateUntil time.Time
@@ -79,7 +81,7 @@
 
 // eligible reports whether the host may be offered new flows.
 func (d *Dispatcher) eligible(now time.Time, a *agent) bool {
-	return a.statusKnown && a.status.State == packet.HostReady && !a.status.Stopping &&
+	return a.statusKnown && a.status.State == packet.HostReady && !a.status.Stopping && !a.evacuated &&
 		!d.silent(now, a) && a.unansweredOffers < maxUnansweredOffers
 }
 
@@ -172,7 +174,7 @@
 		d.services[a.serviceTag].agents = append(d.services[a.serviceTag].agents, a)
 	}
 	a.statusKnown, a.lastMessageAt, a.status = true, now, s
-	a.coldUntil = now.Add(s.ColdRemaining)
+	a.coldUntil, a.evacuated = now.Add(s.ColdRemaining), slices.Contains(d.evacuated, s.DataCentre)
 	a.offersSinceReport, a.unansweredOffers = 0, 0
 	return changed
 }
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -58,6 +58,8 @@
 	ReasonQueued Reason = "queued"
 	// ReasonOverload means that no host had room for the flow in time.
 	ReasonOverload Reason = "overload"
+	// ReasonEvacuated means that all hosts of the service are in evacuated data centres.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonStopping means that the balancer ended while the first packet was queued.
 	ReasonStopping Reason = "stopping"
 	// ReasonNotFound means that a search has not found the flow, but that a host whose
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -101,6 +101,8 @@
 	firstListedAt time.Time
 	// agentListComplete is set while the store lists every agent that can be reached.
 	agentListComplete bool
+	// evacuated holds the evacuated data centres.
+	evacuated []string
 }
 
 // New returns a dispatcher without routes and agents. It fails if c.MaxFlows is
@@ -197,6 +199,9 @@
 		return []Decision{Drop{Flow: e.key, Reason: ReasonQueued}}
 	case len(e.answers) > 0:
 		return d.forward(e, e.answers[0].agent, StepRepeat, s.Data)
+	case e.returnedOffers < len(e.triedAgents) && d.isEvacuated(now, e.serviceTag):
+		// A host that was offered the flow before the evacuation may still accept it.
+		return []Decision{Drop{Flow: e.key, Reason: ReasonEvacuated}}
 	}
 	e.triedAgents, e.returnedOffers = nil, 0
 	return d.offer(now, e, s.Data, StepOffer)
@@ -221,6 +226,9 @@
 		// A host that has not answered may still accept the flow.
 		return nil
 	}
+	if d.isEvacuated(now, e.serviceTag) {
+		return d.reset(e, 0, ReasonEvacuated)
+	}
 	if d.shouldQueue(now, e) {
 		return d.enqueue(now, e, data)
 	}
@@ -353,8 +361,13 @@
 	}
 	key := s.KeyFromCaller()
 	e := d.flows.get(now, key)
-	if reason == packet.ReturnBusy && a != nil {
+	switch {
+	case a == nil:
+	case reason == packet.ReturnBusy:
 		a.markFull(now, e != nil && e.late)
+	case reason == packet.ReturnEvacuated:
+		// The agent may not have got the end of the evacuation yet.
+		a.markFull(now, false)
 	}
 	if e == nil {
 		return []Decision{Drop{Flow: key, Reason: ReasonForgotten}}
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -135,6 +135,9 @@
 			c.full = c.full && a.isFull(now, false)
 			c.fullForLate = c.fullForLate && a.isFull(now, true)
 		}
+		if d.isEvacuated(now, e.serviceTag) {
+			c.expiredBefore, c.resetReason = now, ReasonEvacuated
+		}
 		capacities[e.serviceTag] = c
 		available = available || !c.full
 	}
