relay: Return new flows while the data centre is evacuated

A balancer with old knowledge goes on to send new flows to an evacuated data centre. The agent beside the host is the second check: it returns first packets, and copies of those that the host has not answered. Open flows continue.

--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -177,6 +177,9 @@
 // refusal returns why the host gets no new flow; refused is false if it gets one. A flow is late if it already misses
 // its latency objective. If the host does not answer first packets, refusal lets one flow through in each trialInterval.
 func (r *Relay) refusal(now time.Time, late bool) (reason packet.ReturnReason, refused bool) {
+	if r.evacuated {
+		return packet.ReturnEvacuated, true
+	}
 	switch r.State(now) {
 	case packet.HostReady:
 	case packet.HostDraining:
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -111,6 +111,8 @@
 	load           load
 	observeLatency func(latency time.Duration)
 	stopping       bool
+	// evacuated is set while the data centre of the host is evacuated.
+	evacuated bool
 }
 
 // New returns a relay that refuses new flows until the first heartbeat of its host.
@@ -164,7 +166,7 @@
 
 // handleFirstPacket decides on the first packet of a flow, or a retransmission of it.
 func (r *Relay) handleFirstPacket(now time.Time, key flow.Key, f *flowEntry, balancer netip.Addr, l packet.Label, s *packet.Segment) (decisions []Decision) {
-	if f != nil && f.state != stateAbsent && f.callerISN == s.Sequence && !f.ended {
+	if f != nil && f.state != stateAbsent && f.callerISN == s.Sequence && !f.ended && !r.leavesFlow(f) {
 		f.balancer = balancer
 		return []Decision{Deliver{Flow: key, Data: s.Data}}
 	}
