balancer: Read evacuations and pass them on

The keys under op/evacuate/ were not read. Balancers that watch the store now watch the operator's common prefix, so no further watch is paid, and pass the state on in digests, Hellos and views; agents return theirs with a status or a returned packet. Without evacuate_ms in the settings nothing changes. TestEvacuation counts the watches; TestEvacuationWhileStoreFails plays a slow store, dropped history, a list that fails half way, a restore and an outage; the other tests a balancer without store and knowledge that is behind on either side.

--- a/internal/cli/hosted/hosted.go
+++ b/internal/cli/hosted/hosted.go
@@ -255,12 +255,16 @@
 		return err
 	}
 	s := p.settings
-	b, err := balancer.New(balancer.Config{
+	config := balancer.Config{
 		DataCentre: s.DataCentre, CPUPermille: s.CPUPermille, Address: s.Address, PacketPort: s.PacketAddress.Port(), PeerPort: s.PeerPort, Seeds: s.Seeds, Codec: platform.PacketCodec{},
 		Store: p.store, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		MaxFlows: int(s.MemoryBytes / flowMemoryDivisor / bytesPerFlow), StopTimeout: s.StopTimeout * 2 / 3,
 		Logger: p.logger, Metrics: p.metrics, Group: p.tasks,
-	})
+	}
+	if s.EvacuationBound > 0 {
+		config.OperatorPrefix, config.EvacuationPrefix = platform.OperatorPrefix, platform.EvacuationPrefix
+	}
+	b, err := balancer.New(config)
 	if err == nil {
 		err = p.serve("readiness", s.ReadinessAddress, platform.NewReadinessHandler(b.Ready))
 	}
--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -20,6 +20,7 @@
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/registry"
@@ -29,7 +30,8 @@
 
 // Config configures an Agent.
 type Config struct {
-	// Node names the machine, and DataCentre is the data centre of the machine. Node must be set.
+	// Node names the machine, and DataCentre is the data centre of the machine. Node must be set. If DataCentre is empty,
+	// the agent cannot return new flows because of an evacuation.
 	Node, DataCentre string
 	// Address is the IP address of the machine, on which the agent listens. Must be set.
 	Address netip.Addr
@@ -123,7 +125,9 @@
 	configHolder  netip.Addr
 	// announcedState is the host's state that balancers were last sent.
 	announcedState packet.HostState
-	stopping       bool
+	// evacuations holds the operator's evacuations as balancers have reported them.
+	evacuations evacuation.Tracker
+	stopping    bool
 }
 
 // New opens the sockets of an agent and starts its goroutines in c.Group.
@@ -221,7 +225,11 @@
 			a.config.Metrics.Counter("packets.returned." + d.Reason.String()).Inc(1)
 			a.decisions.Log(now, "packet_returned", d.Reason.String(), "flow", packet.FlowName(d.Flow), "balancer", d.Balancer,
 				"host", a.core.HostID(), "heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
-			a.sendMessage(d.Balancer, message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)})
+			returned := message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)}
+			if d.Reason == packet.ReturnEvacuated {
+				returned.Evacuations = a.evacuations.State()
+			}
+			a.sendMessage(d.Balancer, returned)
 		case relay.Accept:
 			a.decisions.Log(now, "flow_accepted", "", "flow", packet.FlowName(d.Flow), "balancer", d.Balancer, "host", a.core.HostID(), "handshake", d.Handshake)
 			a.sendMessage(d.Balancer, message.Accepted{Flow: d.Flow, Sequence: d.Sequence, Handshake: d.Handshake, Load: a.core.Load(now)})
@@ -241,6 +249,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.updateEvacuated(now)
 	a.core.Tick(now)
 	a.announceState(now)
 }
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"agateramp/internal/process/logging"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/relay"
@@ -40,7 +41,24 @@
 	if m.Unlisted {
 		a.registrar.RequestCheck()
 	}
-	a.sendMessage(from, a.status(now))
+	if a.evacuations.Merge(now, m.Evacuations) {
+		a.updateEvacuated(now)
+	}
+	s := a.status(now)
+	if !s.Evacuations.IsLater(m.Evacuations) {
+		s.Evacuations = evacuation.State{}
+	}
+	a.sendMessage(from, s)
+}
+
+// updateEvacuated passes on to the relay whether the data centre of the host is evacuated. a.mu must be held.
+func (a *Agent) updateEvacuated(now time.Time) {
+	evacuated := a.config.DataCentre != "" && a.evacuations.IsEvacuated(now, a.config.DataCentre)
+	if !a.core.SetEvacuated(evacuated) {
+		return
+	}
+	revision := a.evacuations.State().Revision()
+	logging.Line(level.Info(a.config.Logger), "event", "host_evacuated", "evacuated", evacuated, "generation", revision.Generation, "revision", revision.Number)
 }
 
 // recordHello records that a balancer has sent a Hello. a.mu must be held.
@@ -81,6 +99,7 @@
 	s := message.Status{
 		Node: a.config.Node, Service: a.config.Service, DataCentre: a.config.DataCentre, State: a.core.State(now),
 		Load: a.core.Load(now), ColdRemaining: a.core.ColdRemaining(now), ConfigVersion: a.configVersion, ConfigHolder: a.configHolder, Stopping: a.stopping,
+		Evacuations: a.evacuations.State(),
 	}
 	for address, lastHelloAt := range a.balancers {
 		if now.Sub(lastHelloAt) > balancerTTL {
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
 	"agateramp/internal/segment/dispatch"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/peers"
@@ -52,6 +54,12 @@
 	Store store.Store
 	// ConfigKey is the store key of the operator's configuration. Must be set.
 	ConfigKey string
+	// EvacuationPrefix is the prefix of the store keys that evacuate a data centre; its name follows the prefix. If empty,
+	// no data centre is evacuated.
+	EvacuationPrefix string
+	// OperatorPrefix is the common prefix of ConfigKey and EvacuationPrefix, which are watched together. Must be set with
+	// EvacuationPrefix; otherwise it has no effect.
+	OperatorPrefix string
 	// DecodeConfig decodes the operator's configuration. Must be set.
 	DecodeConfig func(data []byte) (*routes.Set, error)
 	// MaxFlows limits the number of flows in the flow table. If zero, the default of package dispatch applies.
@@ -71,6 +79,8 @@
 		return errors.New("Address, PacketPort and PeerPort must be set")
 	case c.Codec == nil, c.Store == nil, c.DecodeConfig == nil, c.ConfigKey == "":
 		return errors.New("Codec, Store, ConfigKey and DecodeConfig must be set")
+	case c.EvacuationPrefix != "" && (c.OperatorPrefix == "" || !strings.HasPrefix(c.ConfigKey, c.OperatorPrefix) || !strings.HasPrefix(c.EvacuationPrefix, c.OperatorPrefix)):
+		return errors.New("OperatorPrefix must be a prefix of ConfigKey and EvacuationPrefix")
 	case c.Logger == nil, c.Metrics == nil, c.Group == nil:
 		return errors.New("Logger, Metrics and Group must be set")
 	}
@@ -102,6 +112,9 @@
 	peers *peers.Set
 	// list is the store's list of agents.
 	list agentList
+	// evacuations holds the operator's evacuations, and evacuated the evacuated data centres that the dispatcher has.
+	evacuations evacuation.Tracker
+	evacuated   []string
 	// watching is set while this balancer watches the store.
 	watching bool
 	// storeDown is set while the store is unreachable, and storeReturnedAt is when it became reachable again or was
@@ -276,7 +289,10 @@
 	defer b.mu.Unlock()
 	b.core.Expire(now)
 	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateEvacuated(now, "restore grace")
 	m := b.config.Metrics
+	m.Gauge("evacuations.data_centres").Update(int64(len(b.evacuated)))
+	m.Gauge("evacuations.revision").Update(b.evacuations.State().Revision().Number)
 	m.Gauge("flows").Update(int64(b.core.FlowCount()))
 	m.Gauge("agents.answering").Update(int64(b.core.AnsweringCount(now)))
 	m.Gauge("agents.known").Update(int64(len(b.core.Agents())))
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -50,12 +50,14 @@
 			b.recordMalformed(now, "returned packet", err)
 			return
 		}
+		b.exchangeEvacuations(now, from, m.Evacuations)
 		b.config.Metrics.Counter("packets.returned." + m.Reason.String()).Inc(1)
 		b.decisions.Log(now, "packet_returned", m.Reason.String(), "flow", packet.FlowName(s.KeyFromCaller()), "agent", from, "first", s.IsFirstPacket())
 		b.execute(now, b.core.HandleReturned(now, from, &s, m.Reason, m.Load))
 		b.wakeTimer()
 	case message.Digest:
 		b.peers.HandleDigest(now, from, m)
+		b.applyEvacuations(now, m.Evacuations, from.String())
 		b.requestNewerView(from, m.ConfigVersion)
 		if _, reachable := b.storeAge(now); !reachable && m.ListRevision.Compare(b.list.revision) > 0 {
 			b.requestView(from)
@@ -83,6 +85,7 @@
 		logging.Line(level.Info(b.config.Logger), "event", "host_changed", "agent", from, "node", m.Node, "service", m.Service,
 			"state", m.State, "agent_stopping", m.Stopping)
 	}
+	b.exchangeEvacuations(now, from, m.Evacuations)
 	for _, address := range m.Balancers {
 		b.peers.Add(now, address)
 	}
@@ -171,16 +174,23 @@
 
 // sendHellos sends agents a request for their status.
 func (b *Balancer) sendHellos(agents []netip.Addr) {
+	hellos := make([]message.Hello, len(agents))
 	b.mu.Lock()
-	version := b.core.Routes().Version()
-	unlisted := make(map[netip.Addr]bool)
-	_, storeReachable := b.storeAge(time.Now())
-	for _, address := range agents {
-		unlisted[address] = storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(address)
+	for i, address := range agents {
+		hellos[i] = b.hello(address)
 	}
 	b.mu.Unlock()
-	for _, address := range agents {
-		b.sendMessage(address, message.Hello{ConfigVersion: version, Unlisted: unlisted[address]})
+	for i, address := range agents {
+		b.sendMessage(address, hellos[i])
+	}
+}
+
+// hello returns the Hello for an agent. b.mu must be held.
+func (b *Balancer) hello(agent netip.Addr) message.Hello {
+	_, storeReachable := b.storeAge(time.Now())
+	return message.Hello{
+		ConfigVersion: b.core.Routes().Version(), Evacuations: b.evacuations.State(),
+		Unlisted: storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(agent),
 	}
 }
 
@@ -211,7 +221,7 @@
 	}
 	digest := message.Digest{
 		ConfigVersion: b.core.Routes().Version(), Agents: b.hashAgents(now), CPUPermille: b.config.CPUPermille,
-		ListRevision: b.list.revision, ListComplete: b.agentsComplete(now),
+		ListRevision: b.list.revision, ListComplete: b.agentsComplete(now), Evacuations: b.evacuations.State(),
 	}
 	digest.StoreAge, digest.Watching = b.peers.StoreAge(now)
 	wait = b.peers.DigestInterval()
@@ -229,7 +239,8 @@
 }
 
 // applyConfig puts a configuration in force if it is newer than the current one, and reports whether it did. The source
-// is named in the log.
+// is named in the log. Without knowledge of the evacuations none is put in force, because new flows could then reach
+// hosts in an evacuated data centre.
 func (b *Balancer) applyConfig(raw []byte, source string) (applied bool) {
 	set, err := b.config.DecodeConfig(raw)
 	if err != nil {
@@ -238,7 +249,7 @@
 	}
 	b.mu.Lock()
 	previous := b.core.Routes().Version()
-	applied = b.core.SetRoutes(set)
+	applied = (!b.usesEvacuations() || b.evacuations.State().Known()) && b.core.SetRoutes(set)
 	b.mu.Unlock()
 	if applied {
 		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
--- a/internal/segment/balancer/view.go
+++ b/internal/segment/balancer/view.go
@@ -14,6 +14,7 @@
 	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/segment/datapathpb"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/message"
 )
 
@@ -32,7 +33,7 @@
 
 var _ datapathpb.ViewServiceHandler = viewService{}
 
-// GetView returns the agents that answer, the known balancers, and the configuration and the store's list of agents if
+// GetView returns the agents that answer, the known balancers, the evacuations, and the configuration and the store's list of agents if
 // they are newer than those in the request.
 func (v viewService) GetView(_ context.Context, r *connect.Request[datapathpb.GetViewRequest]) (*connect.Response[datapathpb.GetViewResponse], error) {
 	b := v.balancer
@@ -42,7 +43,7 @@
 	view := &datapathpb.GetViewResponse{
 		ConfigVersion: routes.Version(), Agents: message.EncodeAddresses(b.core.AnsweringAgents(time.Now())),
 		Balancers: message.EncodeAddresses(b.peers.Addresses()), ListRevision: uint64(b.list.revision.Number),
-		ListGeneration: b.list.revision.Generation,
+		ListGeneration: b.list.revision.Generation, Evacuations: b.evacuations.State().Encode(),
 	}
 	if routes.Version() > r.Msg.GetConfigVersion() {
 		view.Config = routes.Raw()
@@ -143,6 +144,9 @@
 		return
 	}
 	view := response.Msg
+	b.mu.Lock()
+	b.applyEvacuations(time.Now(), evacuation.Decode(view.GetEvacuations()), target.String())
+	b.mu.Unlock()
 	if len(view.GetConfig()) > 0 {
 		b.applyConfig(view.GetConfig(), target.String())
 	}
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// configBatchInterval and agentsBatchInterval are the least times between two reads of changes from the store, so
+	// operatorBatchInterval and agentsBatchInterval are the least times between two reads of changes from the store, so
 	// that changes close together are applied at once.
-	configBatchInterval = 150 * time.Millisecond
-	agentsBatchInterval = 200 * time.Millisecond
+	operatorBatchInterval = 150 * time.Millisecond
+	agentsBatchInterval   = 200 * time.Millisecond
 	// watchCheckInterval is how often a balancer checks whether it has to watch the store.
 	watchCheckInterval = 200 * time.Millisecond
 	// entryReturnDelay is how long after the store's return its list of agents may lack agents that run. An agent that
@@ -88,7 +88,7 @@
 	}
 }
 
-// startMirrors begins to copy the configuration and the list of agents from the store.
+// startMirrors begins to copy the operator's keys and the list of agents from the store.
 func (b *Balancer) startMirrors(ctx context.Context) (mirrors *group.Group, err error) {
 	retries := registry.NewRetryBudget()
 	agentsMirror, err := registry.NewMirror(registry.MirrorConfig{
@@ -97,16 +97,16 @@
 	if err != nil {
 		return nil, err
 	}
-	// The store holds watches of the configuration for a shorter time, so that they show a restore first.
-	configMirror, err := registry.NewMirror(registry.MirrorConfig{
-		Store: b.config.Store, Prefix: b.config.ConfigKey, BatchInterval: configBatchInterval, OnChange: b.handleConfigEntries, OnReachable: b.handleStoreReachable,
+	// The store holds watches of the operator's keys for a shorter time, so that they show a restore first.
+	operatorMirror, err := registry.NewMirror(registry.MirrorConfig{
+		Store: b.config.Store, Prefix: b.operatorPrefix(), BatchInterval: operatorBatchInterval, OnChange: b.handleOperatorEntries, OnReachable: b.handleStoreReachable,
 		OnGeneration: agentsMirror.Refresh, RetryBudget: retries, Logger: b.config.Logger,
 	})
 	if err != nil {
 		return nil, err
 	}
 	mirrors = group.New(ctx)
-	mirrors.Go("mirror configuration", configMirror.Run)
+	mirrors.Go("mirror operator's keys", operatorMirror.Run)
 	mirrors.Go("mirror agents", agentsMirror.Run)
 	return mirrors, nil
 }
@@ -160,17 +160,6 @@
 	return age, watching && age < message.UnknownAge
 }
 
-// handleConfigEntries applies the configuration that the store holds, if there is one.
-func (b *Balancer) handleConfigEntries(entries map[string]store.Entry, _ store.Revision) {
-	entry, ok := entries[b.config.ConfigKey]
-	if !ok {
-		return
-	}
-	if b.applyConfig(entry.Value, "store") {
-		b.wakeDigest()
-	}
-}
-
 // handleAgentEntries applies the list of agents that the store holds. Entries that cannot be decoded are logged and
 // skipped.
 func (b *Balancer) handleAgentEntries(entries map[string]store.Entry, revision store.Revision) {
