platform: Read the bounds of cold hosts

A service's cold_per_s and the settings' cold_excess and cold_slack were ignored. The configuration keeps the figure, the settings the bounds, and Hellos and loads have fields for the figure and the room that is left. Nothing is sent yet.

--- a/internal/segment/coldstart/capacity.go
+++ b/internal/segment/coldstart/capacity.go
@@ -18,7 +18,7 @@
 // Add adds a host with the given room. Of the flows that it takes in any Window, perSecond is the most.
 func (c *Capacity) Add(b Bounds, room int, perSecond float64) {
 	c.Room += room
-	c.PerSecond += float64(b.limit(perSecond)) / Window.Seconds()
+	c.PerSecond += float64(b.Limit(perSecond)) / Window.Seconds()
 }
 
 // Servable reports whether a flow that is given up after the given time can be served, if ahead flows are served before
--- a/internal/segment/coldstart/limiter.go
+++ b/internal/segment/coldstart/limiter.go
@@ -26,8 +26,8 @@
 	Excess, Slack float64
 }
 
-// limit returns the most new flows in any Window for a host that bears perSecond of them.
-func (b Bounds) limit(perSecond float64) int {
+// Limit returns the most new flows in any Window for a host that bears perSecond of them.
+func (b Bounds) Limit(perSecond float64) int {
 	return int(min(math.Floor(perSecond*b.Excess+b.Slack), math.MaxInt32))
 }
 
@@ -67,7 +67,7 @@
 func (l *Limiter) IsLimited() bool { return !l.perSecondKnown || l.perSecond > 0 }
 
 // limit returns the most flows in any Window. Without the figure it is the slack, which is never above the limit.
-func (l *Limiter) limit() int { return l.bounds.limit(l.perSecond) }
+func (l *Limiter) limit() int { return l.bounds.Limit(l.perSecond) }
 
 // Block admits no flow until a time, because those that were admitted before are not known.
 func (l *Limiter) Block(until time.Time) { l.blockedUntil = until }
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -31,6 +31,10 @@
 	Unlisted bool
 	// Evacuations is the newest state that the balancer has. The zero value means that it does not report one.
 	Evacuations evacuation.State
+	// ColdRate is how many new flows a second a cold host of the agent's service bears by the configuration; 0 states no
+	// limit. It is valid only if ColdRateKnown is set.
+	ColdRate      float64
+	ColdRateKnown bool
 }
 
 // Status is an agent's report on itself and its host.
@@ -135,9 +139,7 @@
 	pb := &datapathpb.Message{}
 	switch m := m.(type) {
 	case Hello:
-		pb.Body = &datapathpb.Message_Hello{Hello: &datapathpb.Hello{
-			ConfigVersion: m.ConfigVersion, Unlisted: m.Unlisted, Evacuations: m.Evacuations.Encode(),
-		}}
+		pb.Body = &datapathpb.Message_Hello{Hello: encodeHello(m)}
 	case Status:
 		pb.Body = &datapathpb.Message_Status{Status: encodeStatus(m)}
 	case Accepted:
@@ -170,8 +172,7 @@
 	}
 	switch body := pb.GetBody().(type) {
 	case *datapathpb.Message_Hello:
-		h := body.Hello
-		return Hello{ConfigVersion: h.GetConfigVersion(), Unlisted: h.GetUnlisted(), Evacuations: evacuation.Decode(h.GetEvacuations())}, nil
+		return decodeHello(body.Hello), nil
 	case *datapathpb.Message_Status:
 		return decodeStatus(body.Status)
 	case *datapathpb.Message_Accepted:
@@ -194,6 +195,21 @@
 	return nil, errUnknownKind
 }
 
+func encodeHello(m Hello) (pb *datapathpb.Hello) {
+	pb = &datapathpb.Hello{ConfigVersion: m.ConfigVersion, Unlisted: m.Unlisted, Evacuations: m.Evacuations.Encode()}
+	if m.ColdRateKnown {
+		pb.ColdRate = &m.ColdRate
+	}
+	return pb
+}
+
+func decodeHello(pb *datapathpb.Hello) Hello {
+	return Hello{
+		ConfigVersion: pb.GetConfigVersion(), Unlisted: pb.GetUnlisted(), Evacuations: evacuation.Decode(pb.GetEvacuations()),
+		ColdRate: pb.GetColdRate(), ColdRateKnown: pb.ColdRate != nil,
+	}
+}
+
 func encodeStatus(m Status) (pb *datapathpb.Status) {
 	pb = &datapathpb.Status{
 		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: datapathpb.HostState(m.State),
@@ -236,19 +252,27 @@
 	}
 }
 
-func encodeLoad(l packet.Load) *datapathpb.Load {
-	return &datapathpb.Load{
+func encodeLoad(l packet.Load) (pb *datapathpb.Load) {
+	pb = &datapathpb.Load{
 		Slots: uint32(l.Slots), Busy: uint32(l.OutstandingRequests), Flows: uint32(l.OpenFlows),
 		LatencyUs: uint32(l.Latency.Microseconds()), UtilisationPermille: uint32(l.Utilisation * 1000),
 	}
+	if l.Cold {
+		pb.ColdRoom = uint32(l.ColdRoom) + 1
+	}
+	return pb
 }
 
-func decodeLoad(pb *datapathpb.Load) packet.Load {
-	return packet.Load{
+func decodeLoad(pb *datapathpb.Load) (l packet.Load) {
+	l = packet.Load{
 		Slots: int(pb.GetSlots()), OutstandingRequests: int(pb.GetBusy()), OpenFlows: int(pb.GetFlows()),
 		Latency:     time.Duration(pb.GetLatencyUs()) * time.Microsecond,
 		Utilisation: float64(pb.GetUtilisationPermille()) / 1000,
 	}
+	if room := pb.GetColdRoom(); room > 0 {
+		l.Cold, l.ColdRoom = true, int(room-1)
+	}
+	return l
 }
 
 func encodeFlow(key flow.Key) *datapathpb.FlowKey {
--- a/internal/segment/message/message_test.go
+++ b/internal/segment/message/message_test.go
@@ -21,6 +21,8 @@
 	other := packet.NewKey(netip.MustParseAddrPort("100.64.0.8:1"), netip.MustParseAddrPort("198.18.0.1:443"))
 	return []Message{
 		Hello{ConfigVersion: 7, Unlisted: true, Evacuations: evacuations},
+		Hello{ColdRateKnown: true},
+		Hello{ColdRateKnown: true, ColdRate: 12.5},
 		Status{
 			Node: "side-1", Service: "studio", DataCentre: "north", State: packet.HostDraining, Load: load, ColdRemaining: 1500 * time.Millisecond,
 			Balancers: []netip.Addr{netip.MustParseAddr("10.0.0.1")}, ConfigVersion: 9, ConfigHolder: netip.MustParseAddr("10.0.0.2"), Stopping: true,
@@ -29,6 +31,8 @@
 		Accepted{Flow: key, Sequence: 0xfffffffe, Handshake: true, Load: load},
 		Returned{Reason: packet.ReturnBusy, Packet: []byte{1, 2, 3}, Load: load},
 		Returned{Reason: packet.ReturnEvacuated, Packet: []byte{1}, Load: load, Evacuations: evacuations},
+		Returned{Reason: packet.ReturnCold, Packet: []byte{1}, Load: packet.Load{Cold: true}},
+		Accepted{Flow: key, Load: packet.Load{Cold: true, ColdRoom: 7}},
 		Digest{ConfigVersion: 3, Agents: 1 << 63, Evacuations: evacuations},
 		Digest{ListRevision: store.Revision{Generation: 3, Number: 1 << 40}, ListComplete: true, Watching: true, StoreAge: 250 * time.Millisecond, CPUPermille: 88},
 		Digest{Watching: true, StoreAge: UnknownAge},
--- a/internal/segment/packet/load.go
+++ b/internal/segment/packet/load.go
@@ -47,6 +47,10 @@
 	// Utilisation is the moving average of the share of Slots that requests occupy,
 	// from 0 to 1.
 	Utilisation float64
+	// Cold is set while the host is cold and its new flows are limited. ColdRoom is then
+	// how many it takes now.
+	Cold     bool
+	ColdRoom int
 }
 
 // ReturnReason is why an agent returned a packet to the balancer that sent it.
@@ -70,12 +74,14 @@
 	ReturnBusy
 	// ReturnEvacuated means that the data centre of the host is evacuated.
 	ReturnEvacuated
+	// ReturnCold means that the host is cold and takes no more new flows at present.
+	ReturnCold
 )
 
 // String returns the name of the reason as it appears in logs and metrics, and
 // "invalid" for a value without a name.
 func (r ReturnReason) String() string {
-	names := [...]string{"unspecified", "not_held", "refused", "no_host", "draining", "wrong_service", "busy", "evacuated"}
+	names := [...]string{"unspecified", "not_held", "refused", "no_host", "draining", "wrong_service", "busy", "evacuated", "cold"}
 	if int(r) >= len(names) {
 		return "invalid"
 	}
--- a/internal/segment/routes/routes.go
+++ b/internal/segment/routes/routes.go
@@ -48,6 +48,9 @@
 	// UnreadableRoutes is the number of routes that were left out because they could
 	// not be parsed.
 	UnreadableRoutes int
+	// ColdRates holds how many new flows a second a host of a service bears while it is
+	// cold. Services that it does not hold have no limit.
+	ColdRates map[string]float64
 	// Raw is the configuration as the operator wrote it, for passing on to other
 	// balancers.
 	Raw []byte
@@ -64,6 +67,7 @@
 	routes           map[netip.AddrPort]*Route
 	idleTimeout      time.Duration
 	unreadableRoutes int
+	coldRates        map[string]float64
 	raw              []byte
 }
 
@@ -77,7 +81,7 @@
 	}
 	s = &Set{
 		version: c.Version, routes: make(map[netip.AddrPort]*Route, len(c.Routes)),
-		idleTimeout: c.IdleTimeout, raw: c.Raw, unreadableRoutes: c.UnreadableRoutes,
+		idleTimeout: c.IdleTimeout, raw: c.Raw, unreadableRoutes: c.UnreadableRoutes, coldRates: c.ColdRates,
 	}
 	for i := range c.Routes {
 		s.routes[c.Routes[i].Address] = &c.Routes[i]
@@ -110,6 +114,19 @@
 // not be parsed. s must not be nil.
 func (s *Set) UnreadableRoutes() int { return s.unreadableRoutes }
 
+// ColdRate returns how many new flows a second a host of a service bears while it is
+// cold, or 0 if s is nil or states no limit.
+func (s *Set) ColdRate(service string) float64 {
+	if s == nil {
+		return 0
+	}
+	return s.coldRates[service]
+}
+
+// ColdRateCount returns the number of services with a limit for cold hosts. s must not be
+// nil.
+func (s *Set) ColdRateCount() int { return len(s.coldRates) }
+
 // Len returns the number of routes, or 0 if s is nil.
 func (s *Set) Len() int {
 	if s == nil {
