relay: Limit the new flows of a cold host

A host that had just started got as many new flows as any other. The agent admits first packets by a limiter while its host is cold, may be cold, or was within the last window, and returns the others. Loads carry the room that is left.

--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -20,6 +20,7 @@
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/segment/coldstart"
 	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
@@ -50,6 +51,8 @@
 	HeartbeatInterval time.Duration
 	// FlowLifetime is the longest lifetime of a flow. If zero, flows may live without a limit.
 	FlowLifetime time.Duration
+	// ColdBounds limit the new flows of the host while it is cold. If nil, they are not limited.
+	ColdBounds *coldstart.Bounds
 	// Seeds are addresses of machines that may run a balancer. The agent sends its status to them while no balancer
 	// sends a Hello. If empty, the agent waits until a balancer finds its entry.
 	Seeds []netip.Addr
@@ -138,6 +141,7 @@
 	}
 	core, err := relay.New(relay.Config{
 		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, FlowLifetime: c.FlowLifetime,
+		ColdBounds: c.ColdBounds, StartedAt: time.Now(),
 		ObserveLatency: func(latency time.Duration) { c.Metrics.Latency("latency.host_us", latency) },
 	})
 	if err != nil {
@@ -263,11 +267,21 @@
 	m := a.config.Metrics
 	m.Gauge("flows").Update(int64(load.OpenFlows))
 	m.Gauge("host.busy").Update(int64(load.OutstandingRequests))
+	m.Gauge("host.cold_ms").Update(a.core.ColdRemaining(now).Milliseconds())
+	m.Gauge("host.cold_room").Update(coldRoom(load))
 	m.Gauge("host.latency_us").Update(load.Latency.Microseconds())
 	m.Gauge("host.heartbeat_age_ms").Update(a.core.HeartbeatAge(now).Milliseconds())
 	m.Gauge("config.version").Update(int64(a.configVersion))
 }
 
+// coldRoom returns how many new flows a cold host takes now, or -1 if they are not limited.
+func coldRoom(l packet.Load) int64 {
+	if !l.Cold {
+		return -1
+	}
+	return int64(l.ColdRoom)
+}
+
 // Stop makes the agent return the first packets of new flows and reports to the balancers that it is stopping. If the
 // host has ended or does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the
 // entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -38,6 +38,9 @@
 	if m.ConfigVersion >= a.configVersion {
 		a.configVersion, a.configHolder = m.ConfigVersion, from
 	}
+	if m.ColdRateKnown {
+		a.core.SetColdRate(m.ColdRate, m.ConfigVersion)
+	}
 	if m.Unlisted {
 		a.registrar.RequestCheck()
 	}
--- a/internal/segment/relay/absence.go
+++ b/internal/segment/relay/absence.go
@@ -45,7 +45,7 @@
 	if now.Sub(h.lastPacketAt) < minQuietTime {
 		return nil
 	}
-	h.absent = true
+	h.absent, h.maybeCold = true, true
 	for key, f := range r.flows {
 		if f.state == stateOpen && !f.ended {
 			decisions = append(decisions, Reset{Flow: key, Sequence: f.lastAck, Reason: ReasonHostAbsent})
--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -68,6 +68,10 @@
 	slots           int
 	coldUntil       time.Time
 	lastHeartbeatAt time.Time
+	// Until coldLimitedUntil, and while maybeCold is set, the new flows of the host are limited. maybeCold is set until
+	// the next heartbeat after a sign that the host has become cold.
+	coldLimitedUntil time.Time
+	maybeCold        bool
 	// allFlowsSeen is set if the relay has seen every flow that the host can hold, so that the host holds no flow that
 	// the relay does not know. firstHeartbeatAt is when the first heartbeat of this start was received.
 	allFlowsSeen     bool
@@ -111,6 +115,9 @@
 	// of this start yet, and without a heartbeat it would have refused new flows.
 	startedWithAgent := hb.Age >= 0 && hb.Age < r.heartbeatInterval/2
 	seen := !firstStart || startedWithAgent || r.host.holdsNoOtherFlows()
+	if !seen {
+		r.blockCold()
+	}
 	r.host = host{id: hb.ID, startMS: hb.StartMS, allFlowsSeen: seen, lastPacketAt: now, firstHeartbeatAt: now}
 	r.applyHeartbeat(now, hb)
 	return VerdictNewHost, decisions
@@ -120,7 +127,7 @@
 func (r *Relay) applyHeartbeat(now time.Time, hb Heartbeat) {
 	h := &r.host
 	h.sequence, h.state, h.slots, h.lastHeartbeatAt, h.absent = hb.Sequence, hb.State, hb.Slots, now, false
-	h.coldUntil = now.Add(hb.ColdRemaining)
+	h.recordCold(now, hb.ColdRemaining)
 }
 
 // olderStartTakesOver counts a heartbeat of a start with an older time, and reports whether that start replaces the
--- a/internal/segment/relay/load.go
+++ b/internal/segment/relay/load.go
@@ -40,6 +40,17 @@
 	l.updatedAt = now
 }
 
+// recordNewData reports whether a caller's packet has data that the caller has not sent before, and records its end.
+// Retransmitted data is no request, because the host answers it with an acknowledgement without data.
+func (f *flowEntry) recordNewData(s *packet.Segment) bool {
+	end := s.Sequence + uint32(s.PayloadLength)
+	if s.PayloadLength == 0 || f.sentData && int32(end-f.nextSequence) <= 0 {
+		return false
+	}
+	f.nextSequence, f.sentData = end, true
+	return true
+}
+
 // recordRequest records that data of a caller was delivered to the host.
 func (r *Relay) recordRequest(now time.Time, f *flowEntry) {
 	if !f.busy {
@@ -75,10 +86,14 @@
 }
 
 // Load returns the load of the host. Its OpenFlows is the number of all entries in the flow table.
-func (r *Relay) Load(now time.Time) packet.Load {
+func (r *Relay) Load(now time.Time) (l packet.Load) {
 	r.load.advance(now, r.host.slots)
-	return packet.Load{
+	l = packet.Load{
 		Slots: r.host.slots, OutstandingRequests: r.load.outstandingRequests, OpenFlows: len(r.flows),
 		Latency: r.load.latency, Utilisation: r.load.utilisation,
 	}
+	if r.isColdLimited(now) {
+		l.Cold, l.ColdRoom = true, r.coldLimiter.Room(now)
+	}
+	return l
 }
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/core/flow"
+	"agateramp/internal/segment/coldstart"
 	"agateramp/internal/segment/packet"
 )
 
@@ -45,6 +46,10 @@
 	// MaxFlows is the number of flows in the table at which idle flows are removed before one is added. The table may
 	// grow beyond it. If zero, it is 50,000.
 	MaxFlows int
+	// ColdBounds limit the new flows of the host while it is cold. If nil, they are not limited.
+	ColdBounds *coldstart.Bounds
+	// StartedAt is when the agent started. If zero, no earlier run of it has just ended.
+	StartedAt time.Time
 	// ObserveLatency is called with the latency of each response of the host. If nil, it is not called.
 	ObserveLatency func(latency time.Duration)
 }
@@ -113,6 +118,9 @@
 	stopping       bool
 	// evacuated is set while the data centre of the host is evacuated.
 	evacuated bool
+	// coldLimiter limits the new flows of the host while it is cold. If nil, they are not limited.
+	coldLimiter *coldstart.Limiter
+	startedAt   time.Time
 }
 
 // New returns a relay that refuses new flows until the first heartbeat of its host.
@@ -129,10 +137,15 @@
 	if c.MaxFlows <= 0 {
 		c.MaxFlows = 50_000
 	}
-	return &Relay{
+	r = &Relay{
 		serviceTag: packet.ServiceTag(c.Service), heartbeatInterval: c.HeartbeatInterval, flowLifetime: c.FlowLifetime,
 		idleTimeout: c.IdleTimeout, maxFlows: c.MaxFlows, observeLatency: c.ObserveLatency, flows: make(map[flow.Key]*flowEntry),
-	}, nil
+		startedAt: c.StartedAt,
+	}
+	if c.ColdBounds != nil {
+		r.coldLimiter, err = coldstart.NewLimiter(*c.ColdBounds)
+	}
+	return r, err
 }
 
 // Stop makes the relay refuse new flows, because the agent is about to end. Other flows continue.
@@ -167,12 +180,18 @@
 // handleFirstPacket decides on the first packet of a flow, or a retransmission of it.
 func (r *Relay) handleFirstPacket(now time.Time, key flow.Key, f *flowEntry, balancer netip.Addr, l packet.Label, s *packet.Segment) (decisions []Decision) {
 	if f != nil && f.state != stateAbsent && f.callerISN == s.Sequence && !f.ended && !r.leavesFlow(f) {
+		if !r.admitCold(now, key) {
+			return []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnCold, Data: s.Data}}
+		}
 		f.balancer = balancer
 		return []Decision{Deliver{Flow: key, Data: s.Data}}
 	}
 	if reason, refused := r.refusal(now, l.Late); refused {
 		return []Decision{Return{Flow: key, Balancer: balancer, Reason: reason, Data: s.Data}}
 	}
+	if !r.admitCold(now, key) {
+		return []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnCold, Data: s.Data}}
+	}
 	r.addFlow(now, key, &flowEntry{state: stateOffered, callerISN: s.Sequence, balancer: balancer, offeredAt: now})
 	r.recentOffers = append(r.recentOffers, key)
 	return []Decision{Deliver{Flow: key, Data: s.Data}}
@@ -212,17 +231,6 @@
 	return decisions
 }
 
-// recordNewData reports whether a caller's packet has data that the caller has not sent before, and records its end.
-// Retransmitted data is no request, because the host answers it with an acknowledgement without data.
-func (f *flowEntry) recordNewData(s *packet.Segment) bool {
-	end := s.Sequence + uint32(s.PayloadLength)
-	if s.PayloadLength == 0 || f.sentData && int32(end-f.nextSequence) <= 0 {
-		return false
-	}
-	f.nextSequence, f.sentData = end, true
-	return true
-}
-
 // announceHeld notifies the flow's balancer that the host holds the flow, unless it was notified before.
 func (r *Relay) announceHeld(key flow.Key, f *flowEntry) (decisions []Decision) {
 	if f.notifiedBalancer == f.balancer || !f.balancer.IsValid() {
@@ -327,7 +335,8 @@
 	wasOpen := f.state == stateOpen
 	r.endRequest(now, f)
 	if wasOpen {
-		// The host held the flow before, so no other host holds it.
+		// The host held the flow before, so no other host holds it. It may have restarted.
+		r.host.maybeCold = true
 		r.removeFlow(now, key, f)
 		return []Decision{Reset{Flow: key, Sequence: f.lastAck, Reason: ReasonHostLostFlow}}
 	}
