dispatch: Place flows by the room of cold hosts

Balancers offer a cold host no more flows than its agent has room for. If all hosts of a service are cold, flows whose turn comes too late are reset at once, the least urgent ones; a balancer counts on twice its even share. TestAllHostsCold queues 200 flows of two priorities before hosts that take about 70 in time: all of the lower and about a third of the higher priority are refused at once, the others are all served.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/segment/coldstart"
 	"agateramp/internal/segment/dispatch"
 	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/message"
@@ -62,6 +63,9 @@
 	OperatorPrefix string
 	// DecodeConfig decodes the operator's configuration. Must be set.
 	DecodeConfig func(data []byte) (*routes.Set, error)
+	// ColdBounds are how far the new flows of a cold host may exceed the figure of the configuration. If nil, they are not
+	// limited, and agents get no figure.
+	ColdBounds *coldstart.Bounds
 	// MaxFlows limits the number of flows in the flow table. If zero, the default of package dispatch applies.
 	MaxFlows int
 	// StopTimeout is the most time that Stop takes. If zero, it is 4 s.
@@ -141,7 +145,7 @@
 	if err = c.validate(); err != nil {
 		return nil, err
 	}
-	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre})
+	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre, ColdBounds: c.ColdBounds})
 	if err != nil {
 		return nil, err
 	}
@@ -288,6 +292,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.core.Expire(now)
+	b.core.SetBalancerCount(1 + len(b.peers.Addresses()))
 	b.core.SetAgentListComplete(b.agentsComplete(now))
 	b.updateEvacuated(now, "restore grace")
 	m := b.config.Metrics
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -186,12 +186,16 @@
 }
 
 // hello returns the Hello for an agent. b.mu must be held.
-func (b *Balancer) hello(agent netip.Addr) message.Hello {
+func (b *Balancer) hello(agent netip.Addr) (h message.Hello) {
 	_, storeReachable := b.storeAge(time.Now())
-	return message.Hello{
+	h = message.Hello{
 		ConfigVersion: b.core.Routes().Version(), Evacuations: b.evacuations.State(),
 		Unlisted: storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(agent),
 	}
+	if service, known := b.core.Service(agent); known && b.config.ColdBounds != nil && b.core.Routes() != nil {
+		h.ColdRate, h.ColdRateKnown = b.core.Routes().ColdRate(service), true
+	}
+	return h
 }
 
 // takeNextAgents returns the agents that are polled now. If the interval at which each agent is polled is longer than
@@ -253,7 +257,7 @@
 	b.mu.Unlock()
 	if applied {
 		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
-			"routes", set.Len(), "unreadable_routes", set.UnreadableRoutes(), "source", source)
+			"routes", set.Len(), "unreadable_routes", set.UnreadableRoutes(), "cold_limits", set.ColdRateCount(), "source", source)
 	}
 	return applied
 }
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -60,6 +60,9 @@
 	ReasonOverload Reason = "overload"
 	// ReasonEvacuated means that all hosts of the service are in evacuated data centres.
 	ReasonEvacuated Reason = "evacuated"
+	// ReasonCold means that all hosts of the service are cold and bear too little to serve
+	// the flow before it is given up.
+	ReasonCold Reason = "cold"
 	// ReasonStopping means that the balancer ended while the first packet was queued.
 	ReasonStopping Reason = "stopping"
 	// ReasonNotFound means that a search has not found the flow, but that a host whose
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/core/flow"
+	"agateramp/internal/segment/coldstart"
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/routes"
 )
@@ -70,6 +71,9 @@
 	// unless one elsewhere is expected to answer clearly sooner. If empty, the data
 	// centres of hosts are ignored.
 	DataCentre string
+	// ColdBounds are how far the new flows of a cold host may exceed the figure of the
+	// configuration. If nil, no flow is reset because all hosts are cold.
+	ColdBounds *coldstart.Bounds
 }
 
 // Dispatcher decides on the packets of one balancer. It is not safe for concurrent
@@ -103,6 +107,10 @@
 	agentListComplete bool
 	// evacuated holds the evacuated data centres.
 	evacuated []string
+	// coldBounds are as in Config, and balancerCount is the number of balancers that share
+	// the hosts; 0 stands for one.
+	coldBounds    *coldstart.Bounds
+	balancerCount int
 }
 
 // New returns a dispatcher without routes and agents. It fails if c.MaxFlows is
@@ -117,6 +125,7 @@
 	return &Dispatcher{
 		dataCentre: c.DataCentre, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32]*service), flows: newFlowTable(c.MaxFlows),
+		coldBounds: c.ColdBounds,
 	}, nil
 }
 
--- a/internal/segment/dispatch/place.go
+++ b/internal/segment/dispatch/place.go
@@ -144,7 +144,9 @@
 // choice between two random hosts bounds the share of flows that a host gets while its
 // load report is out of date.
 func (d *Dispatcher) place(now time.Time, e *flowEntry) *agent {
-	available := func(a *agent) bool { return d.eligible(now, a) && !e.wasTried(a) && !a.isFull(now, e.late) }
+	available := func(a *agent) bool {
+		return d.eligible(now, a) && !e.wasTried(a) && !a.isFull(now, e.late) && a.hasColdRoom(now)
+	}
 	r := d.rank(now, e.key, e.serviceTag, func(a *agent) bool { return available(a) && !d.joining(now, a) })
 	if r.first == nil {
 		r = d.rank(now, e.key, e.serviceTag, available)
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"agateramp/internal/segment/coldstart"
 )
 
 const (
@@ -45,7 +47,7 @@
 	for _, a := range d.serviceAgents(e.serviceTag) {
 		if d.eligible(now, a) {
 			anyEligible = true
-			anyLeft = anyLeft || a.isFull(now, e.late) || !e.wasTried(a)
+			anyLeft = anyLeft || a.isFull(now, e.late) || !a.hasColdRoom(now) || !e.wasTried(a)
 		}
 	}
 	if anyEligible {
@@ -79,6 +81,7 @@
 	}
 	capacities := make(map[uint32]*serviceCapacity)
 	if d.checkCapacity(now, waiting, capacities) {
+		// The order decides which flows are offered or reset.
 		slices.SortStableFunc(waiting, compareUrgency)
 	}
 	var stillQueued []*flowEntry
@@ -100,9 +103,14 @@
 			decisions = append(decisions, d.forward(e, a.address, StepQueued, data)...)
 		case !e.firstSentAt.After(c.expiredBefore):
 			decisions = append(decisions, d.reset(e, 0, c.resetReason)...)
+			continue
+		case c.allCold && !c.cold.Servable(c.ahead, e.firstSentAt.Add(maxQueueTime).Sub(now)):
+			decisions = append(decisions, d.reset(e, 0, ReasonCold)...)
+			continue
 		default:
 			stillQueued = append(stillQueued, e)
 		}
+		c.ahead++
 	}
 	d.queue.waiting = append(stillQueued, d.queue.waiting...)
 	return decisions
@@ -117,10 +125,17 @@
 	// full is set once no host has room for any flow, and fullForLate once none has a
 	// free slot for a late one.
 	full, fullForLate bool
+	// allCold is set if all hosts that accept flows are cold and their new flows are
+	// limited. cold is then what they take, and ahead the number of flows that are served
+	// before the next one in the order.
+	allCold bool
+	cold    coldstart.Capacity
+	ahead   int
 }
 
 // checkCapacity adds the capacity of each service that flows are queued for to
-// capacities, and reports whether any host may accept one of them.
+// capacities, and reports whether any host may accept one of them, or a cold host may
+// later.
 func (d *Dispatcher) checkCapacity(now time.Time, waiting []*flowEntry, capacities map[uint32]*serviceCapacity) (available bool) {
 	for _, e := range waiting {
 		if capacities[e.serviceTag] != nil {
@@ -132,14 +147,15 @@
 				continue
 			}
 			c.expiredBefore, c.resetReason = now.Add(-maxQueueTime), ReasonOverload
-			c.full = c.full && a.isFull(now, false)
-			c.fullForLate = c.fullForLate && a.isFull(now, true)
+			c.full = c.full && (a.isFull(now, false) || !a.hasColdRoom(now))
+			c.fullForLate = c.fullForLate && (a.isFull(now, true) || !a.hasColdRoom(now))
 		}
+		c.cold, c.allCold = d.coldCapacity(now, e.serviceTag)
 		if d.isEvacuated(now, e.serviceTag) {
 			c.expiredBefore, c.resetReason = now, ReasonEvacuated
 		}
 		capacities[e.serviceTag] = c
-		available = available || !c.full
+		available = available || !c.full || c.allCold
 	}
 	return available
 }
