hosted: Print the evacuated data centres in status

An operator could not see from the command line which data centres the store holds as evacuated. The status command lists them where the settings state evacuate_ms; without it the command makes the same calls as before. TestReadStatus covers the list.

--- a/internal/cli/hosted/status.go
+++ b/internal/cli/hosted/status.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +35,9 @@
 	ConfigVersion uint64 `json:"config_version"`
 	// StoreGeneration rises each time the store is restored from a copy. The revisions of
 	// agents are of this generation.
-	StoreGeneration  uint64        `json:"store_generation"`
+	StoreGeneration uint64 `json:"store_generation"`
+	// Evacuated holds the evacuated data centres in the store.
+	Evacuated        []string      `json:"evacuated,omitempty"`
 	Routes           int           `json:"routes"`
 	UnreadableRoutes int           `json:"unreadable_routes"`
 	Agents           []agentStatus `json:"agents"`
@@ -78,6 +81,11 @@
 	if err != nil {
 		return err
 	}
+	if s.EvacuationBound > 0 {
+		if report.Evacuated, err = readEvacuated(ctx, client, platform.EvacuationPrefix); err != nil {
+			return err
+		}
+	}
 	behind := false
 	for _, address := range c.Machines {
 		m := readMachine(ctx, netip.AddrPortFrom(address, c.MetricsPort), report.ConfigVersion)
@@ -125,6 +133,16 @@
 	return report, nil
 }
 
+// readEvacuated reads the data centres that are evacuated by the keys with a prefix.
+func readEvacuated(ctx context.Context, s store.Store, prefix string) (dataCentres []string, err error) {
+	defer func() { err = errors.WithMessage(err, "evacuated data centres") }()
+	entries, _, err := s.List(ctx, prefix)
+	for _, entry := range entries {
+		dataCentres = append(dataCentres, strings.TrimPrefix(entry.Key, prefix))
+	}
+	return dataCentres, err
+}
+
 // readMachine reads the configuration version from the metrics of the process at address
 // and compares it with newest.
 func readMachine(ctx context.Context, address netip.AddrPort, newest uint64) (m machineStatus) {
--- a/internal/cli/hosted/status_test.go
+++ b/internal/cli/hosted/status_test.go
@@ -20,8 +20,8 @@
 	"agateramp/platform"
 )
 
-// Guards against a status that omits agents, routes that cannot be read, or entries that
-// cannot be decoded.
+// Guards against a status that omits agents, evacuated data centres, routes that cannot
+// be read, or entries that cannot be decoded.
 func TestReadStatus(t *testing.T) {
 	is := is.New(t)
 	s, err := memory.New(memory.Config{})
@@ -33,6 +33,7 @@
 	_, err = s.Txn(t.Context(), nil, []store.Write{
 		{Key: platform.ConfigKey, Value: []byte(config)},
 		{Key: e.Key(), Value: value},
+		{Key: platform.EvacuationPrefix + "north", Value: []byte("{}")},
 		{Key: registry.KeyPrefix + "foreign", Value: []byte("?")},
 	})
 	is.NoErr(err)
@@ -46,6 +47,9 @@
 	is.Equal(len(report.Agents), 1)
 	is.Equal(report.Agents[0].Entry, e)
 	is.Equal(report.Unreadable, []string{registry.KeyPrefix + "foreign"})
+	evacuated, err := readEvacuated(t.Context(), s, platform.EvacuationPrefix)
+	is.NoErr(err)
+	is.Equal(evacuated, []string{"north"})
 }
 
 // Guards against machines that are reported to have the newest configuration although
