--- a/internal/segment/coldstart/coldstart_test.go
+++ b/internal/segment/coldstart/coldstart_test.go
@@ -29,7 +29,7 @@
 }
 
 // Guards against more first packets in any span of a second than the bound allows, with copies and bursts in any order,
-// whether a flow is judged by its first delivery or by its last, and against a host that gets less than it may.
+// whether a flow counts by its first delivery or by its last, and against a host that gets less than it may.
 func TestAnySecond(t *testing.T) {
 	for seed := range uint64(50) {
 		is := is.New(t)
