--- a/internal/segment/balancer/view.go
+++ b/internal/segment/balancer/view.go
@@ -33,8 +33,8 @@
 
 var _ datapathpb.ViewServiceHandler = viewService{}
 
-// GetView returns the agents that answer, the known balancers, the evacuations, and the configuration and the store's list of agents if
-// they are newer than those in the request.
+// GetView returns the agents that answer, the known balancers, the evacuations, and the configuration and the store's
+// list of agents if they are newer than those in the request.
 func (v viewService) GetView(_ context.Context, r *connect.Request[datapathpb.GetViewRequest]) (*connect.Response[datapathpb.GetViewResponse], error) {
 	b := v.balancer
 	b.mu.Lock()
