--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -20,6 +20,8 @@
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/segment/coldstart"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/registry"
@@ -29,7 +31,8 @@
 
 // Config configures an Agent.
 type Config struct {
-	// Node names the machine, and DataCentre is the data centre of the machine. Node must be set.
+	// Node names the machine, and DataCentre is the data centre of the machine. Node must be set. If DataCentre is empty,
+	// the agent cannot return new flows because of an evacuation.
 	Node, DataCentre string
 	// Address is the IP address of the machine, on which the agent listens. Must be set.
 	Address netip.Addr
@@ -48,6 +51,8 @@
 	HeartbeatInterval time.Duration
 	// FlowLifetime is the longest lifetime of a flow. If zero, flows may live without a limit.
 	FlowLifetime time.Duration
+	// ColdBounds limit the new flows of the host while it is cold. If nil, they are not limited.
+	ColdBounds *coldstart.Bounds
 	// Seeds are addresses of machines that may run a balancer. The agent sends its status to them while no balancer
 	// sends a Hello. If empty, the agent waits until a balancer finds its entry.
 	Seeds []netip.Addr
@@ -123,7 +128,9 @@
 	configHolder  netip.Addr
 	// announcedState is the host's state that balancers were last sent.
 	announcedState packet.HostState
-	stopping       bool
+	// evacuations holds the operator's evacuations as balancers have reported them.
+	evacuations evacuation.Tracker
+	stopping    bool
 }
 
 // New opens the sockets of an agent and starts its goroutines in c.Group.
@@ -134,6 +141,7 @@
 	}
 	core, err := relay.New(relay.Config{
 		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, FlowLifetime: c.FlowLifetime,
+		ColdBounds: c.ColdBounds, StartedAt: time.Now(),
 		ObserveLatency: func(latency time.Duration) { c.Metrics.Latency("latency.host_us", latency) },
 	})
 	if err != nil {
@@ -221,7 +229,11 @@
 			a.config.Metrics.Counter("packets.returned." + d.Reason.String()).Inc(1)
 			a.decisions.Log(now, "packet_returned", d.Reason.String(), "flow", packet.FlowName(d.Flow), "balancer", d.Balancer,
 				"host", a.core.HostID(), "heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
-			a.sendMessage(d.Balancer, message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)})
+			returned := message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)}
+			if d.Reason == packet.ReturnEvacuated {
+				returned.Evacuations = a.evacuations.State()
+			}
+			a.sendMessage(d.Balancer, returned)
 		case relay.Accept:
 			a.decisions.Log(now, "flow_accepted", "", "flow", packet.FlowName(d.Flow), "balancer", d.Balancer, "host", a.core.HostID(), "handshake", d.Handshake)
 			a.sendMessage(d.Balancer, message.Accepted{Flow: d.Flow, Sequence: d.Sequence, Handshake: d.Handshake, Load: a.core.Load(now)})
@@ -241,6 +253,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.updateEvacuated(now)
 	a.core.Tick(now)
 	a.announceState(now)
 }
@@ -254,11 +267,21 @@
 	m := a.config.Metrics
 	m.Gauge("flows").Update(int64(load.OpenFlows))
 	m.Gauge("host.busy").Update(int64(load.OutstandingRequests))
+	m.Gauge("host.cold_ms").Update(a.core.ColdRemaining(now).Milliseconds())
+	m.Gauge("host.cold_room").Update(coldRoom(load))
 	m.Gauge("host.latency_us").Update(load.Latency.Microseconds())
 	m.Gauge("host.heartbeat_age_ms").Update(a.core.HeartbeatAge(now).Milliseconds())
 	m.Gauge("config.version").Update(int64(a.configVersion))
 }
 
+// coldRoom returns how many new flows a cold host takes now, or -1 if they are not limited.
+func coldRoom(l packet.Load) int64 {
+	if !l.Cold {
+		return -1
+	}
+	return int64(l.ColdRoom)
+}
+
 // Stop makes the agent return the first packets of new flows and reports to the balancers that it is stopping. If the
 // host has ended or does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the
 // entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -74,6 +74,8 @@
 	// offersSinceReport counts the offers since the last load report, and
 	// unansweredOffers the consecutive offers without an answer.
 	offersSinceReport, unansweredOffers int
+	// evacuated is set while status.DataCentre is evacuated.
+	evacuated bool
 	// Until fullUntil the host is assumed to have no room for any flow, and until
 	// fullForLateUntil to have no free slot for a late flow.
 	fullUntil, fullForLateUntil time.Time
@@ -81,7 +83,7 @@
 
 // eligible reports whether the host may be offered new flows.
 func (d *Dispatcher) eligible(now time.Time, a *agent) bool {
-	return a.statusKnown && a.status.State == packet.HostReady && !a.status.Stopping &&
+	return a.statusKnown && a.status.State == packet.HostReady && !a.status.Stopping && !a.evacuated &&
 		!d.silent(now, a) && a.unansweredOffers < maxUnansweredOffers
 }
 
@@ -174,7 +176,7 @@
 		d.services[a.serviceTag].agents = append(d.services[a.serviceTag].agents, a)
 	}
 	a.statusKnown, a.lastMessageAt, a.status = true, now, s
-	a.coldUntil = now.Add(s.ColdRemaining)
+	a.coldUntil, a.evacuated = now.Add(s.ColdRemaining), slices.Contains(d.evacuated, s.DataCentre)
 	a.startSeen = a.startSeen || s.ColdRemaining > 0
 	a.offersSinceReport, a.unansweredOffers = 0, 0
 	return changed
@@ -225,6 +227,16 @@
 	return addresses
 }
 
+// mayLackHosts reports whether hosts may accept flows that this balancer cannot offer them
+// to yet: it has just read the store's first list, to which agents that start at the same
+// time are still added, or an agent that was added lately has not sent a status.
+func (d *Dispatcher) mayLackHosts(now time.Time) bool {
+	if now.Sub(d.firstListedAt) < joinDelay {
+		return true
+	}
+	return slices.ContainsFunc(d.agentList, func(a *agent) bool { return !a.statusKnown && now.Sub(a.addedAt) < firstStatusWindow })
+}
+
 // AgentsWithoutStatus returns the addresses of at most limit agents that were added
 // lately and have not sent a status yet: they are starting, or a message was lost.
 func (d *Dispatcher) AgentsWithoutStatus(now time.Time, limit int) (addresses []netip.Addr) {
--- a/internal/segment/dispatch/replies.go
+++ b/internal/segment/dispatch/replies.go
@@ -60,8 +60,13 @@
 	}
 	key := s.KeyFromCaller()
 	e := d.flows.get(now, key)
-	if reason == packet.ReturnBusy && a != nil {
+	switch {
+	case a == nil:
+	case reason == packet.ReturnBusy:
 		a.markFull(now, e != nil && e.late)
+	case reason == packet.ReturnEvacuated:
+		// The agent may not have got the end of the evacuation yet.
+		a.markFull(now, false)
 	}
 	if e == nil {
 		return []Decision{Drop{Flow: key, Reason: ReasonForgotten}}
