relay: Deny flows only on positive knowledge

Callers saw resets of flows that their host held, on the next request after a restart of an agent: Relay.Expire took the zero time of a host without a heartbeat for one that was long past, and denied every flow that the new process had not seen. The same class of fault was found in seven more places: an agent took a copy of a first packet for the beginning of a flow that its host held already (twice: with and without a packet of the host before it), a notice of an earlier start with the same id for the end of the host, a refused connection just after its own start for a host that had long been quiet, a bounce of an earlier flow of a port for an answer on the later one, a SYN+ACK that it had not waited for as proof that the host holds the flow (a bounce then reset the flow at its true host), and the zero acknowledgement of a caller that it had not seen as the number of a reset.

"Not known" is a state now. The host has a phase (unseen, running, deregistered, absent), sequence numbers are marks that say whether one was seen, and Relay.seenAll is set only once a connection to the host was refused while the relay ran, or the relay has run for longer than a flow lives by the steady clock. HeartbeatAge returns whether there is one. A deregistered host is draining, not gone, until its process is seen not to run, because balancers do not ask agents whose host is gone; the entry in the store is removed only then, too. Everything else is asked of the host by delivering.

Tests that contradicted the design, each replaced by one as strict: TestNeedsProbe and TestLocate took a notice of the end alone for the end of the host; they now expect a probe after it, and a denial once the process has ended as well. TestNewFlowsRefused expected no_host for a deregistered host and now expects draining; TestAbsentHost checks no_host for one that is gone. The fixture for a host whose flows were all seen begins with a refused connection in place of an earlier start.

--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -133,7 +133,7 @@
 		return nil, err
 	}
 	core, err := relay.New(relay.Config{
-		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, FlowLifetime: c.FlowLifetime,
+		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, StartedAt: time.Now(), FlowLifetime: c.FlowLifetime,
 		ObserveLatency: func(latency time.Duration) { c.Metrics.Latency("latency.host_us", latency) },
 	})
 	if err != nil {
@@ -220,7 +220,7 @@
 		case relay.Return:
 			a.config.Metrics.Counter("packets.returned." + d.Reason.String()).Inc(1)
 			a.decisions.Log(now, "packet_returned", d.Reason.String(), "flow", packet.FlowName(d.Flow), "balancer", d.Balancer,
-				"host", a.core.HostID(), "heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
+				"host", a.core.HostID(), "heartbeat_age_ms", a.heartbeatAge(now))
 			a.sendMessage(d.Balancer, message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)})
 		case relay.Accept:
 			a.decisions.Log(now, "flow_accepted", "", "flow", packet.FlowName(d.Flow), "balancer", d.Balancer, "host", a.core.HostID(), "handshake", d.Handshake)
@@ -236,6 +236,16 @@
 	}
 }
 
+// heartbeatAge returns the age of the host's last heartbeat in milliseconds for logs, or "unknown" if there is none. a.mu
+// must be held.
+func (a *Agent) heartbeatAge(now time.Time) any {
+	age, known := a.core.HeartbeatAge(now)
+	if !known {
+		return "unknown"
+	}
+	return age.Milliseconds()
+}
+
 // checkHost counts unanswered first packets and announces the host's state if it has changed.
 func (a *Agent) checkHost() {
 	now := time.Now()
@@ -255,13 +265,15 @@
 	m.Gauge("flows").Update(int64(load.OpenFlows))
 	m.Gauge("host.busy").Update(int64(load.OutstandingRequests))
 	m.Gauge("host.latency_us").Update(load.Latency.Microseconds())
-	m.Gauge("host.heartbeat_age_ms").Update(a.core.HeartbeatAge(now).Milliseconds())
+	if age, known := a.core.HeartbeatAge(now); known {
+		m.Gauge("host.heartbeat_age_ms").Update(age.Milliseconds())
+	}
 	m.Gauge("config.version").Update(int64(a.configVersion))
 }
 
 // Stop makes the agent return the first packets of new flows and reports to the balancers that it is stopping. If the
-// host has ended or does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the
-// entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
+// process of the host does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise
+// the entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
 func (a *Agent) Stop(ctx context.Context) {
 	if a.hostRefuses() {
 		a.handleHostAbsent()
@@ -270,7 +282,7 @@
 	a.mu.Lock()
 	a.core.Stop()
 	a.stopping = true
-	hostGone := a.core.State(now) == packet.HostGone
+	hostGone := a.core.HostAbsent()
 	a.sendStatusToBalancers(now)
 	a.mu.Unlock()
 	logging.Line(level.Info(a.config.Logger), "event", "stopping", "host_gone", hostGone)
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -139,7 +139,7 @@
 		return
 	}
 	logging.Line(level.Info(a.config.Logger), "event", "host_state_changed", "host", a.core.HostID(), "from", a.announcedState, "to", state,
-		"heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
+		"heartbeat_age_ms", a.heartbeatAge(now))
 	a.announcedState = state
 	a.sendStatusToBalancers(now)
 	if len(a.balancers) == 0 {
@@ -168,7 +168,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	current := a.core.HandleDeregister(id)
+	current := a.core.HandleDeregister(now, id)
 	logging.Line(level.Info(a.config.Logger), "event", "host_deregistered", "host", id, "current", current)
 	a.announceState(now)
 }
--- a/internal/segment/agent/probe.go
+++ b/internal/segment/agent/probe.go
@@ -49,7 +49,7 @@
 		return
 	}
 	logging.Line(level.Info(a.config.Logger), "event", "host_absent", "host", a.core.HostID(),
-		"heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds(), "flows_reset", len(decisions))
+		"heartbeat_age_ms", a.heartbeatAge(now), "flows_reset", len(decisions))
 	a.execute(now, decisions)
 	a.announceState(now)
 }
--- a/internal/segment/relay/absence.go
+++ b/internal/segment/relay/absence.go
@@ -1,10 +1,6 @@
 package relay
 
-import (
-	"time"
-
-	"agateramp/internal/segment/packet"
-)
+import "time"
 
 const (
 	// minProbeInterval is the least time between two probes of the host.
@@ -16,18 +12,18 @@
 	minQuietTime = 200 * time.Millisecond
 )
 
-// NeedsProbe reports whether the importer should try to connect to the host now, to learn whether its process runs: the
-// agent has received no heartbeat since its start, or the host has fallen silent. The next probe is due after
-// minProbeInterval at the earliest.
+// NeedsProbe reports whether the importer should try to connect to the host now, to learn whether its process runs: no
+// heartbeat was received yet, or the host has deregistered or fallen silent. The next probe is due after minProbeInterval
+// at the earliest.
 func (r *Relay) NeedsProbe(now time.Time) bool {
 	h := &r.host
 	if now.Before(h.nextProbeAt) {
 		return false
 	}
 	switch {
-	case h.state == packet.HostGone, h.absent:
+	case h.phase == phaseAbsent:
 		return false
-	case h.id == "":
+	case h.phase == phaseUnseen, h.phase == phaseDeregistered:
 	case h.unansweredCount > 0:
 	case now.Sub(h.lastHeartbeatAt) > time.Duration(probeAfterHeartbeats*float64(r.heartbeatInterval)):
 	default:
@@ -42,13 +38,14 @@
 // heartbeat or packet.
 func (r *Relay) HandleHostAbsent(now time.Time) (decisions []Decision) {
 	h := &r.host
-	if now.Sub(h.lastPacketAt) < minQuietTime {
+	ended := h.phase == phaseDeregistered && !h.quietSince.After(h.deregisteredAt)
+	if now.Sub(h.quietSince) < minQuietTime && !ended {
 		return nil
 	}
-	h.absent = true
+	h.phase, r.seenAll = phaseAbsent, true
 	for key, f := range r.flows {
 		if f.state == stateOpen && !f.ended {
-			decisions = append(decisions, Reset{Flow: key, Sequence: f.lastAck, Reason: ReasonHostAbsent})
+			decisions = append(decisions, Reset{Flow: key, Sequence: f.resetSequence(), Reason: ReasonHostAbsent})
 		}
 		r.removeFlow(now, key, f)
 	}
@@ -56,9 +53,4 @@
 }
 
 // HostAbsent reports whether the host is known not to run.
-func (r *Relay) HostAbsent() bool { return r.host.absent }
-
-// holdsNoOtherFlows reports whether the host holds no flow that is not in the table.
-func (h *host) holdsNoOtherFlows() bool {
-	return h.allFlowsSeen || h.absent || h.state == packet.HostGone
-}
+func (r *Relay) HostAbsent() bool { return r.host.phase == phaseAbsent }
--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -59,8 +59,25 @@
 	VerdictSuperseded Verdict = "superseded"
 )
 
-// host is the state of the current start of the host beside the agent. Its id is empty before the first heartbeat.
+// hostPhase is what is known of the process of the host.
+type hostPhase uint8
+
+const (
+	// phaseUnseen: no heartbeat of a start that may run was received yet.
+	phaseUnseen hostPhase = iota
+	// phaseRunning: the heartbeats of the current start are in force.
+	phaseRunning
+	// phaseDeregistered: the current start has reported its end, or an earlier start with the same id has. The process
+	// may run and hold flows until a connection to it is refused.
+	phaseDeregistered
+	// phaseAbsent: no process of the host runs.
+	phaseAbsent
+)
+
+// host is the state of the host beside the agent. The fields up to lastHeartbeatAt are those of the current start; they
+// are valid in phaseRunning and phaseDeregistered.
 type host struct {
+	phase           hostPhase
 	id              string
 	startMS         int64
 	sequence        int64
@@ -68,23 +85,19 @@
 	slots           int
 	coldUntil       time.Time
 	lastHeartbeatAt time.Time
-	// allFlowsSeen is set if the relay has seen every flow that the host can hold, so that the host holds no flow that
-	// the relay does not know. firstHeartbeatAt is when the first heartbeat of this start was received.
-	allFlowsSeen     bool
-	firstHeartbeatAt time.Time
 	// olderID names a start with an older time that sends heartbeats after this start has stopped its own;
 	// olderHeartbeats counts them.
 	olderID         string
 	olderHeartbeats int
 
-	// unansweredCount counts first packets in a row without an answer; lastPacketAt is when the host last sent a
-	// packet; nextTrialAt is when an unresponsive host is offered a flow again.
+	// unansweredCount counts first packets in a row without an answer; quietSince is when the host last gave a sign of
+	// life, or the start of the relay; nextTrialAt is when an unresponsive host is offered a flow again.
 	unansweredCount int
-	lastPacketAt    time.Time
+	quietSince      time.Time
 	nextTrialAt     time.Time
-
-	// absent is set while no process of the host runs, and nextProbeAt is when it is probed again at the earliest.
-	absent      bool
+	// deregisteredAt is valid in phaseDeregistered.
+	deregisteredAt time.Time
+	// nextProbeAt is when the host is probed again at the earliest.
 	nextProbeAt time.Time
 }
 
@@ -92,17 +105,17 @@
 func (r *Relay) HandleHeartbeat(now time.Time, hb Heartbeat) (verdict Verdict, decisions []Decision) {
 	h := &r.host
 	switch {
-	case h.id == hb.ID && h.startMS == hb.StartMS:
+	case h.phase != phaseUnseen && h.id == hb.ID && h.startMS == hb.StartMS:
 		if hb.Sequence <= h.sequence {
 			return VerdictLate, nil
 		}
 		h.olderHeartbeats = 0
 		r.applyHeartbeat(now, hb)
 		return VerdictAccepted, nil
-	case h.id != "" && hb.StartMS < h.startMS && !r.olderStartTakesOver(now, hb):
+	case h.phase != phaseUnseen && hb.StartMS < h.startMS && !r.olderStartTakesOver(now, hb):
 		return VerdictSuperseded, nil
 	}
-	firstStart := h.id == ""
+	firstStart := h.phase == phaseUnseen
 	if !firstStart {
 		decisions = r.resetEarlierFlows(now)
 	}
@@ -110,8 +123,8 @@
 	// heartbeat interval, the agent has missed none: an earlier run of the agent cannot have acknowledged a heartbeat
 	// of this start yet, and without a heartbeat it would have refused new flows.
 	startedWithAgent := hb.Age >= 0 && hb.Age < r.heartbeatInterval/2
-	seen := !firstStart || startedWithAgent || r.host.holdsNoOtherFlows()
-	r.host = host{id: hb.ID, startMS: hb.StartMS, allFlowsSeen: seen, lastPacketAt: now, firstHeartbeatAt: now}
+	r.seenAll = r.seenAll || !firstStart || startedWithAgent
+	r.host = host{id: hb.ID, startMS: hb.StartMS, quietSince: now}
 	r.applyHeartbeat(now, hb)
 	return VerdictNewHost, decisions
 }
@@ -119,7 +132,7 @@
 // applyHeartbeat stores the contents of a heartbeat of the current start.
 func (r *Relay) applyHeartbeat(now time.Time, hb Heartbeat) {
 	h := &r.host
-	h.sequence, h.state, h.slots, h.lastHeartbeatAt, h.absent = hb.Sequence, hb.State, hb.Slots, now, false
+	h.phase, h.sequence, h.state, h.slots, h.lastHeartbeatAt = phaseRunning, hb.Sequence, hb.State, hb.Slots, now
 	h.coldUntil = now.Add(hb.ColdRemaining)
 }
 
@@ -138,22 +151,28 @@
 }
 
 // HandleDeregister processes the notice of a host that it has ended. It reports whether id names the current start;
-// otherwise the notice changes nothing.
-func (r *Relay) HandleDeregister(id string) (current bool) {
-	if r.host.id != id {
+// otherwise the notice changes nothing. An earlier start may have had the same id, so the host gets no new flows but is
+// not taken for ended until its process is seen not to run.
+func (r *Relay) HandleDeregister(now time.Time, id string) (current bool) {
+	h := &r.host
+	if h.phase != phaseRunning || h.id != id {
 		return false
 	}
-	r.host.state = packet.HostGone
+	h.phase, h.deregisteredAt = phaseDeregistered, now
 	return true
 }
 
 // State returns the state of the host. It is HostUnresponsive if a ready host has stopped its heartbeats or has left too
-// many first packets unanswered.
+// many first packets unanswered, and HostGone only if no process of the host runs.
 func (r *Relay) State(now time.Time) packet.HostState {
 	h := &r.host
 	switch {
-	case h.absent:
+	case h.phase == phaseUnseen:
+		return packet.HostUnknown
+	case h.phase == phaseAbsent:
 		return packet.HostGone
+	case h.phase == phaseDeregistered:
+		return packet.HostDraining
 	case h.state != packet.HostReady:
 		return h.state
 	case now.Sub(h.lastHeartbeatAt) > maxMissedHeartbeats*r.heartbeatInterval, h.unansweredCount >= maxUnanswered:
@@ -162,12 +181,17 @@
 	return packet.HostReady
 }
 
-// HostID returns the ID of the current start of the host, which is empty before the first heartbeat.
+// HostID returns the ID of the last known start of the host, for logs. It is empty before the first heartbeat.
 func (r *Relay) HostID() string { return r.host.id }
 
-// HeartbeatAge returns the time since the last heartbeat of the current start of the host. Before the first heartbeat it
-// returns the largest Duration.
-func (r *Relay) HeartbeatAge(now time.Time) time.Duration { return now.Sub(r.host.lastHeartbeatAt) }
+// HeartbeatAge returns the time since the last heartbeat of the current start of the host. known is false if there is
+// none.
+func (r *Relay) HeartbeatAge(now time.Time) (age time.Duration, known bool) {
+	if r.host.phase == phaseUnseen {
+		return 0, false
+	}
+	return now.Sub(r.host.lastHeartbeatAt), true
+}
 
 // ColdRemaining returns how much longer the host is slow after its start, or 0 if it is not.
 func (r *Relay) ColdRemaining(now time.Time) time.Duration {
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -27,6 +27,8 @@
 	absentTTL = 5 * time.Second
 	// maxFirstHeartbeatDelay is how long a host may serve flows before its first heartbeat arrives.
 	maxFirstHeartbeatDelay = time.Second
+	// openingTime is how old a first packet may be. Callers send copies of it for 1.4 s, and balancers keep it for 1.2 s.
+	openingTime = 5 * time.Second
 	// endedTTL is how long an ended flow stays in the table for late packets.
 	endedTTL = 5 * time.Second
 )
@@ -37,8 +39,10 @@
 	Service string
 	// HeartbeatInterval is how often the host sends heartbeats. Must be set.
 	HeartbeatInterval time.Duration
+	// StartedAt is when the agent started. It must have a reading of the steady clock. Must be set.
+	StartedAt time.Time
 	// FlowLifetime is the longest lifetime of a flow. A host that started before the agent holds no unknown flow once
-	// this time has passed. If zero, flows may live without a limit.
+	// this time has passed since StartedAt. If zero, flows may live without a limit.
 	FlowLifetime time.Duration
 	// IdleTimeout is how long a flow without packets stays in the table. If zero, it is 60 s.
 	IdleTimeout time.Duration
@@ -49,63 +53,19 @@
 	ObserveLatency func(latency time.Duration)
 }
 
-// flowState is what is known of whether the host holds a flow.
-type flowState uint8
-
-const (
-	// stateOffered: the first packet was delivered to the host.
-	stateOffered flowState = iota
-	// stateAnswered: the host answered the first packet, but the caller may have taken the answer of another host.
-	stateAnswered
-	// stateProbed: a later packet of an unknown flow was delivered to the host to learn whether the host holds the flow.
-	stateProbed
-	// stateOpen: the host holds the flow.
-	stateOpen
-	// stateAbsent: the host does not hold the flow, because it bounced a packet.
-	stateAbsent
-)
-
-// flowEntry is the entry of a flow in the flow table.
-type flowEntry struct {
-	state flowState
-	// callerISN is the initial sequence number of the caller, which the first packet carries.
-	callerISN uint32
-	// hostISN is the initial sequence number of the host. It is valid after the host's SYN+ACK.
-	hostISN uint32
-	// lastAck is the caller's last acknowledgement, which becomes the sequence number of a reset.
-	lastAck uint32
-	// hostNext is the sequence number after the last packet of the host, or 0 before the first.
-	hostNext uint32
-	// balancer is the balancer that sent the last packet. It is invalid if none did.
-	balancer netip.Addr
-	// notifiedBalancer is the balancer that was last notified that the host holds the flow.
-	notifiedBalancer netip.Addr
-	// nextSequence is the caller's sequence number after the data that it has sent. It is valid if sentData is set.
-	nextSequence uint32
-	sentData     bool
-	// busy is set while a request of the flow is outstanding, hadRequest once there was one. requestedAt is when the
-	// caller last sent new data.
-	busy, hadRequest bool
-	requestedAt      time.Time
-	// lastHostPacketAt is when the host last sent a packet of the flow.
-	lastHostPacketAt time.Time
-	offeredAt        time.Time
-	expiresAt        time.Time
-	// countedUnanswered is set once the first packet was counted as unanswered.
-	countedUnanswered bool
-	// callerFIN and hostFIN are set once that end has sent a FIN. The flow has ended when both have, or after a reset.
-	callerFIN, hostFIN, ended bool
-}
-
 // Relay makes the decisions of an agent. It is not safe for concurrent use.
 type Relay struct {
 	serviceTag        uint32
 	heartbeatInterval time.Duration
+	startedAt         time.Time
 	flowLifetime      time.Duration
 	idleTimeout       time.Duration
 	maxFlows          int
-	host              host
-	flows             map[flow.Key]*flowEntry
+	// seenAll is set once it is certain that the host holds no flow but those in the table: no process of the host ran
+	// at some time since the start of the relay, or every flow from before that start has exceeded its lifetime.
+	seenAll bool
+	host    host
+	flows   map[flow.Key]*flowEntry
 	// recentOffers holds the flows whose first packet was delivered to the host within the last answerTimeout.
 	recentOffers   []flow.Key
 	load           load
@@ -115,8 +75,8 @@
 
 // New returns a relay that refuses new flows until the first heartbeat of its host.
 func New(c Config) (r *Relay, err error) {
-	if c.Service == "" || c.HeartbeatInterval <= 0 {
-		return nil, errors.New("relay: Service and HeartbeatInterval must be set")
+	if c.Service == "" || c.HeartbeatInterval <= 0 || c.StartedAt.IsZero() {
+		return nil, errors.New("relay: Service, HeartbeatInterval and StartedAt must be set")
 	}
 	if c.IdleTimeout <= 0 {
 		c.IdleTimeout = 60 * time.Second
@@ -128,8 +88,9 @@
 		c.MaxFlows = 50_000
 	}
 	return &Relay{
-		serviceTag: packet.ServiceTag(c.Service), heartbeatInterval: c.HeartbeatInterval, flowLifetime: c.FlowLifetime,
+		serviceTag: packet.ServiceTag(c.Service), heartbeatInterval: c.HeartbeatInterval, startedAt: c.StartedAt, flowLifetime: c.FlowLifetime,
 		idleTimeout: c.IdleTimeout, maxFlows: c.MaxFlows, observeLatency: c.ObserveLatency, flows: make(map[flow.Key]*flowEntry),
+		host: host{quietSince: c.StartedAt},
 	}, nil
 }
 
@@ -156,22 +117,19 @@
 	return r.handleLaterPacket(now, key, f, balancer, s)
 }
 
-// holds reports whether a packet is of an open flow of the host; f is the entry of its key, or nil. Such a packet is
-// delivered whatever its label: a balancer that has just started may not know the service of this agent yet.
-func (f *flowEntry) holds(s *packet.Segment) bool {
-	return f != nil && f.state == stateOpen && !s.IsFirstPacket() && packet.SameSpace(s.Acknowledgement, f.hostNext)
-}
-
 // handleFirstPacket decides on the first packet of a flow, or a retransmission of it.
 func (r *Relay) handleFirstPacket(now time.Time, key flow.Key, f *flowEntry, balancer netip.Addr, l packet.Label, s *packet.Segment) (decisions []Decision) {
-	if f != nil && f.state != stateAbsent && f.callerISN == s.Sequence && !f.ended {
+	if f != nil && f.isCopyOfFirst(s) {
 		f.balancer = balancer
 		return []Decision{Deliver{Flow: key, Data: s.Data}}
 	}
 	if reason, refused := r.refusal(now, l.Late); refused {
 		return []Decision{Return{Flow: key, Balancer: balancer, Reason: reason, Data: s.Data}}
 	}
-	r.addFlow(now, key, &flowEntry{state: stateOffered, callerISN: s.Sequence, balancer: balancer, offeredAt: now})
+	f = &flowEntry{state: stateOffered, balancer: balancer, offeredAt: now, seenFromFirst: r.seenAll || now.Sub(r.startedAt) > openingTime}
+	f.callerISN.set(s.Sequence)
+	f.callerSequence.set(s.Sequence)
+	r.addFlow(now, key, f)
 	r.recentOffers = append(r.recentOffers, key)
 	return []Decision{Deliver{Flow: key, Data: s.Data}}
 }
@@ -179,26 +137,27 @@
 // handleLaterPacket decides on a packet of a caller after the first.
 func (r *Relay) handleLaterPacket(now time.Time, key flow.Key, f *flowEntry, balancer netip.Addr, s *packet.Segment) (decisions []Decision) {
 	notHeld := []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnNotHeld, Data: s.Data}}
+	if f != nil && f.isOtherFlow(s) {
+		if f.inUse() {
+			// A late packet of an earlier flow says nothing about the one in the table.
+			return []Decision{Deliver{Flow: key, Data: s.Data}}
+		}
+		f = nil
+	}
 	if f == nil {
-		if r.host.holdsNoOtherFlows() {
+		if r.seenAll {
 			return notHeld
 		}
-		f = &flowEntry{state: stateProbed, balancer: balancer}
+		f = &flowEntry{state: stateUnsure}
 		r.addFlow(now, key, f)
 	}
-	switch f.state {
-	case stateAbsent, stateOffered:
+	if f.deniedFor(s) {
 		return notHeld
-	case stateAnswered:
-		if s.Acknowledgement-f.hostISN > handshakeWindow {
-			// The caller acknowledges the answer of another host.
-			return notHeld
-		}
-	case stateProbed, stateOpen:
 	}
-	f.balancer, f.lastAck = balancer, s.Acknowledgement
+	f.balancer = balancer
+	f.recordCallerPacket(s)
 	f.expiresAt = now.Add(r.idleTimeout)
-	if f.recordNewData(s) && f.state != stateProbed {
+	if f.recordNewData(s) && f.state != stateUnsure {
 		r.recordRequest(now, f)
 	}
 	decisions = append(decisions, Deliver{Flow: key, Data: s.Data})
@@ -210,17 +169,6 @@
 	return decisions
 }
 
-// recordNewData reports whether a caller's packet has data that the caller has not sent before, and records its end.
-// Retransmitted data is no request, because the host answers it with an acknowledgement without data.
-func (f *flowEntry) recordNewData(s *packet.Segment) bool {
-	end := s.Sequence + uint32(s.PayloadLength)
-	if s.PayloadLength == 0 || f.sentData && int32(end-f.nextSequence) <= 0 {
-		return false
-	}
-	f.nextSequence, f.sentData = end, true
-	return true
-}
-
 // announceHeld notifies the flow's balancer that the host holds the flow, unless it was notified before.
 func (r *Relay) announceHeld(key flow.Key, f *flowEntry) (decisions []Decision) {
 	if f.notifiedBalancer == f.balancer || !f.balancer.IsValid() {
@@ -230,45 +178,6 @@
 	return []Decision{Accept{Flow: key, Balancer: f.balancer}}
 }
 
-// Holding is what the agent knows of whether its host holds a flow.
-type Holding uint8
-
-// The possible answers to whether the host holds a flow.
-const (
-	// HoldingUnsure means that only a probe, a delivered packet of the flow, shows whether the host holds it.
-	HoldingUnsure Holding = iota
-	// HoldingYes means that the host holds the flow.
-	HoldingYes
-	// HoldingNo means that the host does not hold the flow.
-	HoldingNo
-)
-
-// Locate returns whether the host holds a flow, for a balancer that searches for the host of the flow. If the answer is
-// HoldingYes, the balancer counts as notified. acknowledgement is that of a packet of the caller, or 0 if none is known.
-// If it is not of the flow that the host held under this key, the caller has used its port again.
-func (r *Relay) Locate(balancer netip.Addr, key flow.Key, acknowledgement uint32) Holding {
-	f := r.flows[key]
-	switch {
-	case f == nil && r.host.holdsNoOtherFlows():
-		return HoldingNo
-	case f == nil:
-		return HoldingUnsure
-	}
-	switch f.state {
-	case stateAbsent, stateOffered:
-		return HoldingNo
-	case stateOpen:
-		if acknowledgement != 0 && f.hostNext != 0 && !packet.SameSpace(acknowledgement, f.hostNext) {
-			return HoldingNo
-		}
-		f.notifiedBalancer = balancer
-		return HoldingYes
-	case stateAnswered, stateProbed:
-		// The caller may have taken the answer of another host, or the host has not answered the probe.
-	}
-	return HoldingUnsure
-}
-
 // HandleFromHost decides on a packet of the host: one for a caller, or a bounced packet of a caller.
 func (r *Relay) HandleFromHost(now time.Time, s *packet.Segment) (decisions []Decision) {
 	if s.Flags.Has(packet.Bounced) {
@@ -276,16 +185,19 @@
 	}
 	r.recordHostPacket(now)
 	key := s.KeyFromHost()
+	decisions = []Decision{SendToCaller{Flow: key, Data: s.Data}}
 	f := r.flows[key]
-	if f == nil || f.state == stateAbsent {
-		f = &flowEntry{state: stateOpen}
+	other := f != nil && f.isOtherAnswer(s)
+	if other && f.inUse() {
+		// A late packet of an earlier flow says nothing about the one in the table.
+		return decisions
+	}
+	if f == nil || f.state == stateAbsent || other {
+		f = &flowEntry{state: stateUnsure}
 		r.addFlow(now, key, f)
 	}
 	f.lastHostPacketAt = now
-	if next := s.Sequence + uint32(s.PayloadLength); f.hostNext == 0 || int32(next-f.hostNext) > 0 {
-		f.hostNext = next
-	}
-	decisions = []Decision{SendToCaller{Flow: key, Data: s.Data}}
+	f.recordHostPacket(s)
 	if s.Flags.Has(packet.SYN | packet.ACK) {
 		if f.state == stateOffered {
 			f.state = stateAnswered
@@ -313,6 +225,10 @@
 	if f == nil || !f.balancer.IsValid() {
 		return []Decision{Drop{Flow: key, Reason: ReasonUnknownFlow}}
 	}
+	if f.isOtherFlow(s) {
+		// The packet is of an earlier flow with the same key.
+		return []Decision{Drop{Flow: key, Reason: ReasonUnknownFlow}}
+	}
 	balancer := f.balancer
 	if s.IsFirstPacket() {
 		r.recordHostPacket(now)
@@ -327,7 +243,7 @@
 	if wasOpen {
 		// The host held the flow before, so no other host holds it.
 		r.removeFlow(now, key, f)
-		return []Decision{Reset{Flow: key, Sequence: f.lastAck, Reason: ReasonHostLostFlow}}
+		return []Decision{Reset{Flow: key, Sequence: f.resetSequence(), Reason: ReasonHostLostFlow}}
 	}
 	f.state, f.expiresAt = stateAbsent, now.Add(absentTTL)
 	return []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnNotHeld, Data: s.Data}}
@@ -336,10 +252,10 @@
 // recordHostPacket records that the host has sent a packet, so that it runs.
 func (r *Relay) recordHostPacket(now time.Time) {
 	h := &r.host
-	h.lastPacketAt, h.unansweredCount = now, 0
-	if h.absent {
-		// A new start of the host, which has had no flows before this one.
-		h.absent, h.allFlowsSeen = false, true
+	h.quietSince, h.unansweredCount = now, 0
+	if h.phase == phaseAbsent {
+		// A new start of the host, which has sent no heartbeat yet.
+		h.phase = phaseUnseen
 	}
 }
 
@@ -352,7 +268,7 @@
 			continue
 		}
 		if f.state == stateOpen && !f.ended {
-			decisions = append(decisions, Reset{Flow: key, Sequence: f.lastAck, Reason: ReasonHostRestarted})
+			decisions = append(decisions, Reset{Flow: key, Sequence: f.resetSequence(), Reason: ReasonHostRestarted})
 		}
 		r.removeFlow(now, key, f)
 	}
@@ -406,7 +322,7 @@
 			kept = append(kept, key)
 		case f.state == stateOffered:
 			f.countedUnanswered = true
-			if r.host.lastPacketAt.Before(f.offeredAt) {
+			if r.host.quietSince.Before(f.offeredAt) {
 				r.host.unansweredCount++
 			}
 		}
@@ -425,8 +341,7 @@
 			r.endRequest(now, f)
 		}
 	}
-	if r.flowLifetime > 0 && now.Sub(r.host.firstHeartbeatAt) > r.flowLifetime {
-		// All flows from before the agent's start have exceeded their lifetime.
-		r.host.allFlowsSeen = true
+	if r.flowLifetime > 0 && now.Sub(r.startedAt) > r.flowLifetime {
+		r.seenAll = true
 	}
 }
