relay: Tell starts of a host apart without a clock

Callers saw resets of flows that their host held after the clock of a machine was set back: an agent that restarted beside a young host took it for one that had started together with itself and denied its flows, and a second start of a host with an earlier time of start was ignored for 7 s, and then had all flows reset that had rested for a second, as those of the start before. Both rest on `born`: its age by the clock of the agent, and its order between two starts. A late heartbeat of an earlier start could also have ended flows or the drain of the host.

`born` is only a part of the name of a start now (StartID); nothing here compares it or reads the time of day. A heartbeat of another start resets no flow: it makes the agent verify the open flows, by delivering a copy of a packet of the caller again, 32 flows every 50 ms. The host bounces what it does not hold, and only that resets a flow, so that the order of heartbeats does not matter. A start takes over with two heartbeats in a row, half an interval apart, three if the current one drains, or at once if the current one has ended; until then the more careful of both states holds. Refused connections and age by the steady clock are the only proofs left that no unknown flow exists. A bounce of a copy whose entry is of a later flow of the port is dropped. docs/decisions/host-starts.md weighs the ways and lists what each decision does before a value is known.

Tests that contradicted the design: TestHeartbeatOrder (order by time) is replaced by TestStarts, TestHostStartedWithAgent by TestStartTimeSaysNothing. TestHostRestarts expected a reset by the heartbeat alone and now expects the question and the bounce; TestFlowOpenedBeforeFirstHeartbeat also covers the second heartbeat. TestHeartbeat no longer expects 409, which no heartbeat gets any more, and TestExplainReset finds the restart in two lines of the log.

--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -214,6 +214,9 @@
 		case relay.Deliver:
 			a.config.Metrics.Counter("packets.delivered").Inc(1)
 			a.hostSocket.Send(a.config.HostAddress, d.Data)
+		case relay.Redeliver:
+			a.config.Metrics.Counter("packets.redelivered").Inc(1)
+			a.hostSocket.Send(a.config.HostAddress, d.Data)
 		case relay.SendToCaller:
 			a.config.Metrics.Counter("packets.answered").Inc(1)
 			a.packetSocket.Send(netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), d.Data)
@@ -246,12 +249,14 @@
 	return age.Milliseconds()
 }
 
-// checkHost counts unanswered first packets and announces the host's state if it has changed.
+// checkHost counts unanswered first packets, continues a verification of the open flows, and announces the host's state if
+// it has changed.
 func (a *Agent) checkHost() {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.core.Tick(now)
+	a.execute(now, a.core.Verify())
 	a.announceState(now)
 }
 
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -147,19 +147,17 @@
 	}
 }
 
-// HandleHeartbeat processes a heartbeat of the host and reports whether it was accepted, and if not, why.
-func (a *Agent) HandleHeartbeat(hb relay.Heartbeat) (verdict relay.Verdict) {
+// HandleHeartbeat processes a heartbeat of the host.
+func (a *Agent) HandleHeartbeat(hb relay.Heartbeat) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	verdict, decisions := a.core.HandleHeartbeat(now, hb)
+	verdict := a.core.HandleHeartbeat(now, hb)
 	if verdict != relay.VerdictAccepted {
-		logging.Line(level.Info(a.config.Logger), "event", "heartbeat_"+string(verdict), "host", hb.ID, "born", hb.StartMS,
+		logging.Line(level.Info(a.config.Logger), "event", "heartbeat_"+string(verdict), "host", hb.Start.ID, "born", hb.Start.StartMS,
 			"sequence", hb.Sequence, "state", hb.State, "current", a.core.HostID())
 	}
-	a.execute(now, decisions)
 	a.announceState(now)
-	return verdict
 }
 
 // HandleDeregister processes the notice of a host that it has ended. The id names the start of the host that ended; a
--- a/internal/segment/relay/absence.go
+++ b/internal/segment/relay/absence.go
@@ -25,7 +25,7 @@
 		return false
 	case h.phase == phaseUnseen, h.phase == phaseDeregistered:
 	case h.unansweredCount > 0:
-	case now.Sub(h.lastHeartbeatAt) > time.Duration(probeAfterHeartbeats*float64(r.heartbeatInterval)):
+	case now.Sub(h.current.heardAt) > time.Duration(probeAfterHeartbeats*float64(r.heartbeatInterval)):
 	default:
 		return false
 	}
@@ -42,7 +42,8 @@
 	if now.Sub(h.quietSince) < minQuietTime && !ended {
 		return nil
 	}
-	h.phase, r.seenAll = phaseAbsent, true
+	h.endCurrent()
+	r.seenAll = true
 	for key, f := range r.flows {
 		if f.state == stateOpen && !f.ended {
 			decisions = append(decisions, Reset{Flow: key, Sequence: f.resetSequence(), Reason: ReasonHostAbsent})
--- a/internal/segment/relay/decision.go
+++ b/internal/segment/relay/decision.go
@@ -7,8 +7,8 @@
 	"agateramp/internal/segment/packet"
 )
 
-// Decision is one thing that the agent is to do with a packet: Deliver, SendToCaller, Return, Accept, Reset or Drop. The
-// Data of a decision is the Data of the packet that was passed in, not a copy.
+// Decision is one thing that the agent is to do with a packet: Deliver, Redeliver, SendToCaller, Return, Accept, Reset or
+// Drop. The Data of a decision is the Data of the packet that was passed in, not a copy, except for Redeliver.
 type Decision interface{ decision() }
 
 // Deliver sends a packet of a caller to the host.
@@ -17,6 +17,13 @@
 	Data []byte
 }
 
+// Redeliver sends the host a copy of a packet of a caller that was delivered before, to learn whether the host still holds
+// the flow. Data is valid until the next call of the Relay.
+type Redeliver struct {
+	Flow flow.Key
+	Data []byte
+}
+
 // SendToCaller sends a packet of the host to the caller of the flow.
 type SendToCaller struct {
 	Flow flow.Key
@@ -62,8 +69,6 @@
 const (
 	// ReasonHostAbsent means that the process of the host that held the flow does not run.
 	ReasonHostAbsent Reason = "host_absent"
-	// ReasonHostRestarted means that the host has restarted and lost its flows.
-	ReasonHostRestarted Reason = "host_restarted"
 	// ReasonHostLostFlow means that the host bounced a packet of a flow that it held before.
 	ReasonHostLostFlow Reason = "host_lost_flow"
 	// ReasonUnknownFlow means that the host bounced a packet of a flow that has ended or has no known balancer.
@@ -73,6 +78,7 @@
 )
 
 func (Deliver) decision()      {}
+func (Redeliver) decision()    {}
 func (SendToCaller) decision() {}
 func (Return) decision()       {}
 func (Accept) decision()       {}
--- a/internal/segment/relay/flow.go
+++ b/internal/segment/relay/flow.go
@@ -59,6 +59,11 @@
 	lastAck sequenceMark
 	// hostNext is the sequence number after the last packet of the host.
 	hostNext sequenceMark
+	// copy is a packet that the caller sent after the first, to be delivered again when the flow is verified. It is empty
+	// if none was kept. copySequence is its sequence number, and copyIsBare is set if it carries no data.
+	copy         []byte
+	copySequence uint32
+	copyIsBare   bool
 	// balancer is the balancer that sent the last packet. It is invalid if none did.
 	balancer netip.Addr
 	// notifiedBalancer is the balancer that was last notified that the host holds the flow.
@@ -70,8 +75,6 @@
 	// caller last sent new data.
 	busy, hadRequest bool
 	requestedAt      time.Time
-	// lastHostPacketAt is when the host last sent a packet of the flow.
-	lastHostPacketAt time.Time
 	offeredAt        time.Time
 	expiresAt        time.Time
 	// countedUnanswered is set once the first packet was counted as unanswered.
--- a/internal/segment/relay/load.go
+++ b/internal/segment/relay/load.go
@@ -43,7 +43,7 @@
 // recordRequest records that data of a caller was delivered to the host.
 func (r *Relay) recordRequest(now time.Time, f *flowEntry) {
 	if !f.busy {
-		r.load.advance(now, r.host.slots)
+		r.load.advance(now, r.host.slots())
 		f.busy, f.hadRequest = true, true
 		r.load.outstandingRequests++
 	}
@@ -68,7 +68,7 @@
 // endRequest records that the flow's request is no longer outstanding. It does nothing if there is none.
 func (r *Relay) endRequest(now time.Time, f *flowEntry) {
 	if f.busy {
-		r.load.advance(now, r.host.slots)
+		r.load.advance(now, r.host.slots())
 		f.busy = false
 		r.load.outstandingRequests--
 	}
@@ -76,9 +76,9 @@
 
 // Load returns the load of the host. Its OpenFlows is the number of all entries in the flow table.
 func (r *Relay) Load(now time.Time) packet.Load {
-	r.load.advance(now, r.host.slots)
+	r.load.advance(now, r.host.slots())
 	return packet.Load{
-		Slots: r.host.slots, OutstandingRequests: r.load.outstandingRequests, OpenFlows: len(r.flows),
+		Slots: r.host.slots(), OutstandingRequests: r.load.outstandingRequests, OpenFlows: len(r.flows),
 		Latency: r.load.latency, Utilisation: r.load.utilisation,
 	}
 }
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -25,8 +25,6 @@
 	handshakeWindow = 16 * 1200
 	// absentTTL is how long after a bounce packets of the flow are returned without another probe of the host.
 	absentTTL = 5 * time.Second
-	// maxFirstHeartbeatDelay is how long a host may serve flows before its first heartbeat arrives.
-	maxFirstHeartbeatDelay = time.Second
 	// openingTime is how old a first packet may be. Callers send copies of it for 1.4 s, and balancers keep it for 1.2 s.
 	openingTime = 5 * time.Second
 	// endedTTL is how long an ended flow stays in the table for late packets.
@@ -66,6 +64,11 @@
 	seenAll bool
 	host    host
 	flows   map[flow.Key]*flowEntry
+	// verificationDue is set if the open flows are to be verified, and unverified holds those that are still to be
+	// verified. copyBytes is the size of all copies in the table.
+	verificationDue bool
+	unverified      []flow.Key
+	copyBytes       int
 	// recentOffers holds the flows whose first packet was delivered to the host within the last answerTimeout.
 	recentOffers   []flow.Key
 	load           load
@@ -156,6 +159,7 @@
 	}
 	f.balancer = balancer
 	f.recordCallerPacket(s)
+	r.keepCopy(f, s)
 	f.expiresAt = now.Add(r.idleTimeout)
 	if f.recordNewData(s) && f.state != stateUnsure {
 		r.recordRequest(now, f)
@@ -196,7 +200,6 @@
 		f = &flowEntry{state: stateUnsure}
 		r.addFlow(now, key, f)
 	}
-	f.lastHostPacketAt = now
 	f.recordHostPacket(s)
 	if s.Flags.Has(packet.SYN | packet.ACK) {
 		if f.state == stateOffered {
@@ -245,6 +248,7 @@
 		r.removeFlow(now, key, f)
 		return []Decision{Reset{Flow: key, Sequence: f.resetSequence(), Reason: ReasonHostLostFlow}}
 	}
+	r.dropCopy(f)
 	f.state, f.expiresAt = stateAbsent, now.Add(absentTTL)
 	return []Decision{Return{Flow: key, Balancer: balancer, Reason: packet.ReturnNotHeld, Data: s.Data}}
 }
@@ -259,26 +263,10 @@
 	}
 }
 
-// resetEarlierFlows removes the flows of an earlier start of the host and resets those that are open. It keeps flows
-// with packets of the host from just before the first heartbeat of the new start, because they may belong to the new
-// start; if they do not, the host bounces their next packet.
-func (r *Relay) resetEarlierFlows(now time.Time) (decisions []Decision) {
-	for key, f := range r.flows {
-		if now.Sub(f.lastHostPacketAt) < maxFirstHeartbeatDelay {
-			continue
-		}
-		if f.state == stateOpen && !f.ended {
-			decisions = append(decisions, Reset{Flow: key, Sequence: f.resetSequence(), Reason: ReasonHostRestarted})
-		}
-		r.removeFlow(now, key, f)
-	}
-	return decisions
-}
-
 // addFlow adds a flow to the table in place of an earlier flow with the same key.
 func (r *Relay) addFlow(now time.Time, key flow.Key, f *flowEntry) {
 	if old := r.flows[key]; old != nil {
-		r.endRequest(now, old)
+		r.removeFlow(now, key, old)
 	}
 	if len(r.flows) >= r.maxFlows {
 		r.Expire(now)
@@ -290,6 +278,7 @@
 // removeFlow ends the outstanding request of a flow, if any, and removes the flow from the table.
 func (r *Relay) removeFlow(now time.Time, key flow.Key, f *flowEntry) {
 	r.endRequest(now, f)
+	r.dropCopy(f)
 	delete(r.flows, key)
 }
 
@@ -299,6 +288,7 @@
 		return
 	}
 	r.endRequest(now, f)
+	r.dropCopy(f)
 	f.ended, f.expiresAt = true, now.Add(endedTTL)
 }
 
