Merge the starts of a host told apart without a clock

Joined with the limit of cold hosts: a heartbeat of a start that is not confirmed limits new flows as well. A host whose process was seen not to run gets no flow before its heartbeat, so the case of a cold start before its heartbeat became one after an absence.

--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -140,8 +140,8 @@
 		return nil, err
 	}
 	core, err := relay.New(relay.Config{
-		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, FlowLifetime: c.FlowLifetime,
-		ColdBounds: c.ColdBounds, StartedAt: time.Now(),
+		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, StartedAt: time.Now(), FlowLifetime: c.FlowLifetime,
+		ColdBounds:     c.ColdBounds,
 		ObserveLatency: func(latency time.Duration) { c.Metrics.Latency("latency.host_us", latency) },
 	})
 	if err != nil {
@@ -222,13 +222,16 @@
 		case relay.Deliver:
 			a.config.Metrics.Counter("packets.delivered").Inc(1)
 			a.hostSocket.Send(a.config.HostAddress, d.Data)
+		case relay.Redeliver:
+			a.config.Metrics.Counter("packets.redelivered").Inc(1)
+			a.hostSocket.Send(a.config.HostAddress, d.Data)
 		case relay.SendToCaller:
 			a.config.Metrics.Counter("packets.answered").Inc(1)
 			a.packetSocket.Send(netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), d.Data)
 		case relay.Return:
 			a.config.Metrics.Counter("packets.returned." + d.Reason.String()).Inc(1)
 			a.decisions.Log(now, "packet_returned", d.Reason.String(), "flow", packet.FlowName(d.Flow), "balancer", d.Balancer,
-				"host", a.core.HostID(), "heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
+				"host", a.core.HostID(), "heartbeat_age_ms", a.heartbeatAge(now))
 			returned := message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)}
 			if d.Reason == packet.ReturnEvacuated {
 				returned.Evacuations = a.evacuations.State()
@@ -248,13 +251,25 @@
 	}
 }
 
-// checkHost counts unanswered first packets and announces the host's state if it has changed.
+// heartbeatAge returns the age of the host's last heartbeat in milliseconds for logs, or "unknown" if there is none. a.mu
+// must be held.
+func (a *Agent) heartbeatAge(now time.Time) any {
+	age, known := a.core.HeartbeatAge(now)
+	if !known {
+		return "unknown"
+	}
+	return age.Milliseconds()
+}
+
+// checkHost counts unanswered first packets, continues a verification of the open flows, and announces the host's state if
+// it has changed.
 func (a *Agent) checkHost() {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.updateEvacuated(now)
 	a.core.Tick(now)
+	a.execute(now, a.core.Verify())
 	a.announceState(now)
 }
 
@@ -270,7 +285,9 @@
 	m.Gauge("host.cold_ms").Update(a.core.ColdRemaining(now).Milliseconds())
 	m.Gauge("host.cold_room").Update(coldRoom(load))
 	m.Gauge("host.latency_us").Update(load.Latency.Microseconds())
-	m.Gauge("host.heartbeat_age_ms").Update(a.core.HeartbeatAge(now).Milliseconds())
+	if age, known := a.core.HeartbeatAge(now); known {
+		m.Gauge("host.heartbeat_age_ms").Update(age.Milliseconds())
+	}
 	m.Gauge("config.version").Update(int64(a.configVersion))
 }
 
@@ -283,8 +300,8 @@
 }
 
 // Stop makes the agent return the first packets of new flows and reports to the balancers that it is stopping. If the
-// host has ended or does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the
-// entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
+// process of the host does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise
+// the entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
 func (a *Agent) Stop(ctx context.Context) {
 	if a.hostRefuses() {
 		a.handleHostAbsent()
@@ -293,7 +310,7 @@
 	a.mu.Lock()
 	a.core.Stop()
 	a.stopping = true
-	hostGone := a.core.State(now) == packet.HostGone
+	hostGone := a.core.HostAbsent()
 	a.sendStatusToBalancers(now)
 	a.mu.Unlock()
 	logging.Line(level.Info(a.config.Logger), "event", "stopping", "host_gone", hostGone)
--- a/internal/segment/relay/cold.go
+++ b/internal/segment/relay/cold.go
@@ -27,11 +27,11 @@
 	return !r.isColdLimited(now) || r.coldLimiter.Admit(now, key)
 }
 
-// recordCold records how much longer the host is cold by its heartbeat.
-func (h *host) recordCold(now time.Time, remaining time.Duration) {
-	h.coldUntil, h.maybeCold = now.Add(remaining), false
-	if remaining > 0 {
-		h.coldLimitedUntil = h.coldUntil.Add(coldstart.Window)
+// recordCold records until when the host is cold by a heartbeat of s, which is or may become the current start.
+func (h *host) recordCold(now time.Time, s *hostStart) {
+	until := s.coldUntil.Add(coldstart.Window)
+	if s.coldUntil.After(now) && until.After(h.coldLimitedUntil) {
+		h.coldLimitedUntil = until
 	}
 }
 
