dispatch: Judge unseen flows by the circumstances of the start

Agents that have restarted cannot deny flows that they have not seen, which after a loss of power is every flow at every agent. They answer with the run that they are, and the balancer waits until it knows whether anything ran before.

--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -108,7 +109,9 @@
 
 // Agent is a running agent. HandleHeartbeat, HandleDeregister and HandleRejectedHeartbeat are safe for concurrent use.
 type Agent struct {
-	config                               Config
+	config Config
+	// run names this run of the agent. Earlier runs have other numbers.
+	run                                  uint64
 	packetSocket, peerSocket, hostSocket *socket.Socket
 	registrar                            *registry.Registrar
 	decisions                            *logging.DecisionLog
@@ -147,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a = &Agent{config: c, core: core, decisions: logging.NewDecisionLog(c.Logger), balancers: make(map[netip.Addr]time.Time)}
+	a = &Agent{config: c, core: core, run: rand.Uint64() | 1, decisions: logging.NewDecisionLog(c.Logger), balancers: make(map[netip.Addr]time.Time)}
 	a.registrar, err = registry.NewRegistrar(registry.RegistrarConfig{
 		Store: c.Store, Logger: c.Logger, RetryBudget: registry.NewRetryBudget(),
 		Entry: registry.Entry{Node: c.Node, Address: c.Address, Service: c.Service},
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -90,8 +90,11 @@
 			l.Denied = append(l.Denied, key)
 		case relay.HoldingUnsure:
 			l.Unsure = append(l.Unsure, key)
+		case relay.HoldingUnseen:
+			l.Unseen = append(l.Unseen, key)
 		}
 	}
+	l.Run = a.run
 	l.Load = a.core.Load(now)
 	return l
 }
@@ -102,7 +105,7 @@
 	s := message.Status{
 		Node: a.config.Node, Service: a.config.Service, DataCentre: a.config.DataCentre, State: a.core.State(now),
 		Load: a.core.Load(now), ColdRemaining: a.core.ColdRemaining(now), ConfigVersion: a.configVersion, ConfigHolder: a.configHolder, Stopping: a.stopping,
-		Evacuations: a.evacuations.State(),
+		Evacuations: a.evacuations.State(), Run: a.run,
 	}
 	for address, lastHelloAt := range a.balancers {
 		if now.Sub(lastHelloAt) > balancerTTL {
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -297,7 +297,7 @@
 	defer b.mu.Unlock()
 	b.core.Expire(now)
 	b.core.SetBalancerCount(1 + len(b.peers.Addresses()))
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateStart(now)
 	b.updateEvacuated(now, "restore grace")
 	m := b.config.Metrics
 	m.Gauge("evacuations.data_centres").Update(int64(len(b.evacuated)))
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -58,7 +58,7 @@
 	case message.Digest:
 		b.handleDigest(now, from, m)
 	case message.Located:
-		b.execute(now, b.core.HandleLocated(now, from, m.Held, m.Denied, m.Unsure, m.Load))
+		b.execute(now, b.core.HandleLocated(now, from, dispatch.Located{Held: m.Held, Denied: m.Denied, Unsure: m.Unsure, Unseen: m.Unseen, Run: m.Run, Load: m.Load}))
 		b.wakeTimer()
 	case message.Hello, message.Lookup:
 		// These are requests to agents; a balancer ignores them.
@@ -69,14 +69,14 @@
 // configuration, handleStatus requests the view of the balancer that has it. b.mu must be held.
 func (b *Balancer) handleStatus(now time.Time, from netip.Addr, m message.Status) {
 	changed := b.core.HandleStatus(now, from, dispatch.Status{
-		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: m.State, Load: m.Load, ColdRemaining: m.ColdRemaining, Stopping: m.Stopping,
+		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: m.State, Load: m.Load, ColdRemaining: m.ColdRemaining, Stopping: m.Stopping, Run: m.Run,
 	})
 	if changed {
 		logging.Line(level.Info(b.config.Logger), "event", "host_changed", "agent", from, "node", m.Node, "service", m.Service,
 			"state", m.State, "agent_stopping", m.Stopping)
 	}
 	if b.isStarting(now) {
-		b.core.SetAgentListComplete(b.agentsComplete(now))
+		b.updateStart(now)
 	}
 	b.exchangeEvacuations(now, from, m.Evacuations)
 	for _, address := range m.Balancers {
@@ -97,7 +97,7 @@
 		b.requestView(from)
 	}
 	b.compareAgents(now, from, m)
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateStart(now)
 	if m.ListRevision.Number == 0 && b.list.revision.Number != 0 {
 		// The sender has just started and waits for what others know.
 		b.sendMessage(from, b.digest(now))
--- a/internal/segment/balancer/start.go
+++ b/internal/segment/balancer/start.go
@@ -19,3 +19,10 @@
 	}
 	return !b.core.HostsJustStarted()
 }
+
+// updateStart decides on the circumstances of the balancer's start and whether the known agents are all that exist. b.mu
+// must be held.
+func (b *Balancer) updateStart(now time.Time) {
+	b.core.UpdateStart(b.isStarting(now), b.peers.AnyEstablished())
+	b.core.SetAgentListComplete(b.agentsComplete(now))
+}
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -136,7 +136,7 @@
 	}
 	b.storeDown = !reachable
 	b.peers.RecordStore(now, reachable)
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateStart(now)
 }
 
 // agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
@@ -203,7 +203,7 @@
 	known, listed := b.list.revisions(), list.revisions()
 	b.list = list
 	b.core.SetListedAgents(now, list.addresses())
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateStart(now)
 	logging.Line(level.Info(b.config.Logger), "event", "agents_listed", "count", len(listed), "generation", list.revision.Generation,
 		"revision", list.revision.Number, "source", source)
 	for address, revision := range listed {
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -48,6 +48,8 @@
 	ColdRemaining time.Duration
 	// Stopping is set while the agent is about to restart.
 	Stopping bool
+	// Run names the run of the agent; 0 means that it is not known.
+	Run uint64
 }
 
 // agent is what the dispatcher knows of an agent and its host.
@@ -71,6 +73,9 @@
 	// if a status has shown the host before that.
 	coldUntil time.Time
 	startSeen bool
+	// seenAllRun is the run of the agent that has seen all flows of its host, because
+	// everything has started anew; 0 means none.
+	seenAllRun uint64
 	// offersSinceReport counts the offers since the last load report, and
 	// unansweredOffers the consecutive offers without an answer.
 	offersSinceReport, unansweredOffers int
@@ -178,6 +183,9 @@
 	a.statusKnown, a.lastMessageAt, a.status = true, now, s
 	a.coldUntil, a.evacuated = now.Add(s.ColdRemaining), slices.Contains(d.evacuated, s.DataCentre)
 	a.startSeen = a.startSeen || s.ColdRemaining > 0
+	if d.start == startAnew && a.ranBefore() {
+		d.forgetSeenAll()
+	}
 	a.offersSinceReport, a.unansweredOffers = 0, 0
 	return changed
 }
@@ -259,22 +267,6 @@
 	return addresses
 }
 
-// HostsJustStarted reports whether the hosts of all known agents had just started when
-// their agents first reported them, except for those that are gone. Right after the start
-// of a balancer, no host holds a flow from before then.
-func (d *Dispatcher) HostsJustStarted() bool {
-	anyStarted := false
-	for _, a := range d.agentList {
-		switch {
-		case a.statusKnown && a.startSeen:
-			anyStarted = true
-		case !a.statusKnown || a.status.State != packet.HostGone:
-			return false
-		}
-	}
-	return anyStarted
-}
-
 // IsListed reports whether the store lists an agent.
 func (d *Dispatcher) IsListed(address netip.Addr) bool {
 	a := d.agents[address]
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -91,6 +91,8 @@
 	// returned by packet.ServiceTag.
 	services map[uint32]*service
 	flows    *flowTable
+	// start is what is known of the circumstances of the balancer's start.
+	start startState
 	// deadlines holds the entries that have a deadline, and some whose deadline has
 	// been cleared since.
 	deadlines []*flowEntry
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -75,6 +75,9 @@
 	// reply it waits for, and unsureAgents those that have to be probed.
 	scope                       searchScope
 	awaitedAgents, unsureAgents []*agent
+	// unseen holds the answers of agents that have not seen the flow, until it is known
+	// whether they are denials.
+	unseen []unseenReply
 	// probing is set while the search waits for the answer to a probe, and probesSent
 	// is the number of packets that each of triedAgents was probed with. onlyCandidate
 	// is the only agent whose host may hold a flow that was not found, or nil.
@@ -152,7 +155,7 @@
 func (e *flowEntry) setOwner(owner netip.Addr) {
 	e.phase, e.owner = phaseEstablished, owner
 	e.triedAgents, e.deniedBy, e.firstPacket, e.returnedOffers, e.deadline = nil, nil, nil, 0, time.Time{}
-	e.awaitedAgents, e.unsureAgents, e.probing, e.probesSent, e.onlyCandidate = nil, nil, false, nil, nil
+	e.awaitedAgents, e.unsureAgents, e.unseen, e.probing, e.probesSent, e.onlyCandidate = nil, nil, nil, false, nil, nil
 }
 
 // flowTable holds the flows by key and in the order of their last use.
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -46,7 +46,7 @@
 func (d *Dispatcher) startSearch(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
 	e.phase, e.scope, e.acknowledgement = phaseSearching, scopeRoute, s.Acknowledgement
 	e.owner = netip.Addr{}
-	e.triedAgents, e.returnedOffers, e.unsureAgents, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil
+	e.triedAgents, e.returnedOffers, e.unsureAgents, e.unseen, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil, nil
 	d.flows.bufferPacket(e, s.Data)
 	return d.queueLookup(now, e)
 }
@@ -77,12 +77,22 @@
 	return agents
 }
 
-// HandleLocated handles an agent's answer to a lookup: the flows that its host
-// holds, those that it does not hold, and those for which the agent has to be
-// probed.
-func (d *Dispatcher) HandleLocated(now time.Time, from netip.Addr, held, denied, unsure []flow.Key, l packet.Load) (decisions []Decision) {
-	a := d.recordMessage(now, from, l)
-	for _, key := range held {
+// Located is an agent's answer to a lookup.
+type Located struct {
+	// Held are the flows that its host holds, Denied those that it does not hold, and
+	// Unsure those for which the agent has to be probed.
+	Held, Denied, Unsure []flow.Key
+	// Unseen are flows like Unsure that this run of the agent has not seen.
+	Unseen []flow.Key
+	// Run names the run of the agent; 0 means that it is not known.
+	Run  uint64
+	Load packet.Load
+}
+
+// HandleLocated handles an agent's answer to a lookup.
+func (d *Dispatcher) HandleLocated(now time.Time, from netip.Addr, l Located) (decisions []Decision) {
+	a := d.recordMessage(now, from, l.Load)
+	for _, key := range l.Held {
 		if e := d.flows.byKey[key]; e != nil && e.phase != phaseEstablished {
 			decisions = append(decisions, d.establish(e, from)...)
 		}
@@ -90,13 +100,13 @@
 	if a == nil {
 		return decisions
 	}
-	for _, key := range denied {
+	for _, key := range l.Denied {
 		if e := d.flows.byKey[key]; e != nil && e.phase == phaseSearching {
 			e.addDenial(now, a)
 			decisions = append(decisions, d.recordReply(now, e, a)...)
 		}
 	}
-	for _, key := range unsure {
+	for _, key := range l.Unsure {
 		e := d.flows.byKey[key]
 		if e == nil || e.phase != phaseSearching {
 			continue
@@ -106,7 +116,7 @@
 		}
 		decisions = append(decisions, d.recordReply(now, e, a)...)
 	}
-	return decisions
+	return append(decisions, d.addUnseen(now, a, l.Run, l.Unseen)...)
 }
 
 // recordReply records that an agent has answered a lookup for a flow, and continues
@@ -130,6 +140,9 @@
 	if reset := d.review(e, 0); reset != nil {
 		return reset
 	}
+	if !d.judgeUnseen(now, e) {
+		return nil
+	}
 	if a := d.nextProbe(now, e); a != nil {
 		return d.probe(now, e, a)
 	}
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -53,6 +53,8 @@
 	ConfigHolder  netip.Addr
 	// Stopping is set while the agent shuts down, usually for a restart.
 	Stopping bool
+	// Run names the run of the agent; 0 means that it is not known.
+	Run uint64
 	// Evacuations is the newest state that the agent has. The zero value means that it has none, or that the Hello which
 	// this answers had one that is as new.
 	Evacuations evacuation.State
@@ -98,7 +100,12 @@
 	// Held are the flows that the host holds, Denied those that it does not hold, and Unsure those for which the
 	// agent must send a packet to the host to find out.
 	Held, Denied, Unsure []flow.Key
-	Load                 packet.Load
+	// Unseen are flows like Unsure that the agent has not seen. The host holds them only if an earlier run of the agent has
+	// delivered packets to the present start of the host.
+	Unseen []flow.Key
+	// Run names the run of the agent; 0 means that it is not known.
+	Run  uint64
+	Load packet.Load
 }
 
 // Digest is a balancer's summary of its knowledge, by which another balancer notices differences.
@@ -157,7 +164,8 @@
 		pb.Body = &datapathpb.Message_Lookup{Lookup: &datapathpb.Lookup{Flows: encodeFlows(m.Flows), Acknowledgements: m.Acknowledgements}}
 	case Located:
 		pb.Body = &datapathpb.Message_Located{Located: &datapathpb.Located{
-			Held: encodeFlows(m.Held), Denied: encodeFlows(m.Denied), Unsure: encodeFlows(m.Unsure), Load: encodeLoad(m.Load),
+			Held: encodeFlows(m.Held), Denied: encodeFlows(m.Denied), Unsure: encodeFlows(m.Unsure), Unseen: encodeFlows(m.Unseen),
+			Run: m.Run, Load: encodeLoad(m.Load),
 		}}
 	case Digest:
 		pb.Body = &datapathpb.Message_Digest{Digest: encodeDigest(m)}
@@ -190,7 +198,8 @@
 	case *datapathpb.Message_Located:
 		l := body.Located
 		return Located{
-			Held: decodeFlows(l.GetHeld()), Denied: decodeFlows(l.GetDenied()), Unsure: decodeFlows(l.GetUnsure()), Load: decodeLoad(l.GetLoad()),
+			Held: decodeFlows(l.GetHeld()), Denied: decodeFlows(l.GetDenied()), Unsure: decodeFlows(l.GetUnsure()), Unseen: decodeFlows(l.GetUnseen()),
+			Run: l.GetRun(), Load: decodeLoad(l.GetLoad()),
 		}, nil
 	case *datapathpb.Message_Digest:
 		return decodeDigest(body.Digest), nil
@@ -216,7 +225,7 @@
 func encodeStatus(m Status) (pb *datapathpb.Status) {
 	pb = &datapathpb.Status{
 		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: datapathpb.HostState(m.State),
-		Load: encodeLoad(m.Load), ColdMs: uint32(m.ColdRemaining.Milliseconds()), ConfigVersion: m.ConfigVersion, Stopping: m.Stopping,
+		Load: encodeLoad(m.Load), ColdMs: uint32(m.ColdRemaining.Milliseconds()), ConfigVersion: m.ConfigVersion, Stopping: m.Stopping, Run: m.Run,
 		Balancers: EncodeAddresses(m.Balancers), Evacuations: m.Evacuations.Encode(),
 	}
 	if m.ConfigHolder.Is4() {
@@ -234,7 +243,7 @@
 		Node: pb.GetNode(), Service: pb.GetService(), DataCentre: pb.GetDataCentre(), State: packet.HostState(pb.GetState()),
 		Load: decodeLoad(pb.GetLoad()), ColdRemaining: time.Duration(pb.GetColdMs()) * time.Millisecond,
 		Balancers: DecodeAddresses(pb.GetBalancers()), ConfigVersion: pb.GetConfigVersion(), ConfigHolder: configHolder,
-		Stopping: pb.GetStopping(), Evacuations: evacuation.Decode(pb.GetEvacuations()),
+		Stopping: pb.GetStopping(), Run: pb.GetRun(), Evacuations: evacuation.Decode(pb.GetEvacuations()),
 	}, nil
 }
 
--- a/internal/segment/relay/flow.go
+++ b/internal/segment/relay/flow.go
@@ -182,6 +182,9 @@
 const (
 	// HoldingUnsure means that only a probe, a delivered packet of the flow, shows whether the host holds it.
 	HoldingUnsure Holding = iota
+	// HoldingUnseen means the same of a flow that the relay has not seen: the host holds it only if an earlier run of the
+	// agent has delivered packets to the present start of the host.
+	HoldingUnseen
 	// HoldingYes means that the host holds the flow.
 	HoldingYes
 	// HoldingNo means that the host certainly does not hold the flow.
@@ -197,7 +200,7 @@
 		if r.seenAll {
 			return HoldingNo
 		}
-		return HoldingUnsure
+		return HoldingUnseen
 	}
 	switch f.state {
 	case stateAbsent:
@@ -206,6 +209,7 @@
 		if f.seenFromFirst {
 			return HoldingNo
 		}
+		return HoldingUnseen
 	case stateOpen:
 		if acknowledgement != 0 && f.hostNext.excludes(acknowledgement) {
 			return HoldingNo
