dispatch: Queue first packets until the first configuration

A balancer dropped first packets until it had a configuration. Callers send only two copies, after 200 and 600 ms, so a packet in the first 0.2 to 0.7 s after a loss of power was often the last one that could be served in time. First packets are now queued within the bounds of the queue, reviewed by the first configuration before they are offered, and reset if it has no route for them or if none comes within 1.2 s of the first copy. While agents have not sent their status, no_host resets wait for the same time.

--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -97,6 +97,12 @@
 	return float64(now.Sub(a.lastMessageAt)) > silentIntervals*float64(d.StatusInterval())
 }
 
+// awaitsStatus reports whether hosts may accept flows that are not known to do so yet: no
+// agent is known, or one that was added lately has not sent its status.
+func (d *Dispatcher) awaitsStatus(now time.Time) bool {
+	return len(d.agentList) == 0 || len(d.AgentsWithoutStatus(now, 1)) > 0
+}
+
 // StatusInterval returns the interval at which each agent is to be asked for its
 // status.
 func (d *Dispatcher) StatusInterval() time.Duration {
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -69,7 +69,8 @@
 	// ReasonNoStatus means that the agent of the flow's host returned the packet because
 	// of its label: it has not sent its status yet, so its service is not known.
 	ReasonNoStatus Reason = "no_status"
-	// ReasonStarting means that the balancer has started and has no configuration yet.
+	// ReasonStarting means that the balancer has started, and that no configuration has come
+	// in time or that there is no room to queue the packet until one comes.
 	ReasonStarting Reason = "starting"
 	// ReasonForgotten means that an agent returned a packet of a flow, or of an offer,
 	// that is no longer remembered.
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -161,22 +161,26 @@
 }
 
 // handleFirstPacket decides on the first packet of a flow or a retransmission of it.
-// e is the entry of the flow key, or nil. The review in offer gives a new flow its service.
+// e is the entry of the flow key, or nil. A flow without a configuration is queued. The
+// review before the first offer gives a new flow its service.
 func (d *Dispatcher) handleFirstPacket(now time.Time, key flow.Key, e *flowEntry, s *packet.Segment) (decisions []Decision) {
 	if e != nil && e.firstKnown && e.firstSequence == s.Sequence {
 		return d.handleRetransmission(now, e, s)
 	}
 	route := d.routes.Route(s.Destination)
-	if route == nil {
-		if d.routes == nil {
-			return []Decision{Drop{Flow: key, Reason: ReasonStarting}}
-		}
+	if route == nil && d.routes != nil {
 		return []Decision{Reset{Flow: key, Reason: ReasonNoRoute}}
 	}
 	e = &flowEntry{key: key, phase: phaseOpening, firstSequence: s.Sequence, firstKnown: true}
 	// Callers number the retransmissions of a first packet in its acknowledgement field.
 	e.firstSentAt = now.Add(-retransmissionDelays[min(s.Acknowledgement, lastRetransmission)])
+	if d.routes == nil && len(d.queue.waiting) >= maxQueuedFlows {
+		return []Decision{Drop{Flow: key, Reason: ReasonStarting}}
+	}
 	d.flows.put(now, e)
+	if d.routes == nil {
+		return d.enqueue(now, e, s.Data)
+	}
 	return d.offer(now, e, s.Data, StepOffer)
 }
 
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -16,14 +16,15 @@
 	// give up 1.4 s after their first packet.
 	maxQueueTime = 1200 * time.Millisecond
 	// maxNoHostTime bounds how long a first packet waits while no host of the service
-	// accepts flows. Processes that restart are back within this time, and callers
+	// accepts flows, once all agents have sent their status. Processes that restart are back within this time, and callers
 	// send no retransmission after it.
 	maxNoHostTime = 600 * time.Millisecond
 	// maxQueuedFlows bounds the number of queued flows.
 	maxQueuedFlows = 2048
 )
 
-// queue holds the flows whose first packet waits for a host with room. Flows that
+// queue holds the flows whose first packet waits for a host with room, or for the first
+// configuration. Flows that
 // can still meet their latency objective go first, then those of higher priority,
 // then the newest: first in, first out would make all of them late.
 type queue struct {
@@ -51,7 +52,16 @@
 	if anyEligible {
 		return age < maxQueueTime && anyLeft
 	}
-	return age < maxNoHostTime && len(e.triedAgents) == 0
+	return age < d.noHostTime(now) && len(e.triedAgents) == 0
+}
+
+// noHostTime returns how long a first packet waits while no host of the service accepts
+// flows. A balancer that has just started does not know the hosts yet.
+func (d *Dispatcher) noHostTime(now time.Time) time.Duration {
+	if d.routes == nil || d.awaitsStatus(now) {
+		return maxQueueTime
+	}
+	return maxNoHostTime
 }
 
 // enqueue adds a flow to the queue with a copy of its first packet.
@@ -145,7 +155,10 @@
 		if capacities[e.serviceTag] != nil {
 			continue
 		}
-		c := &serviceCapacity{expiredBefore: now.Add(-maxNoHostTime), resetReason: ReasonNoHost, full: true, fullForLate: true}
+		c := &serviceCapacity{expiredBefore: now.Add(-d.noHostTime(now)), resetReason: ReasonNoHost, full: true, fullForLate: true}
+		if d.routes == nil {
+			c.resetReason = ReasonStarting
+		}
 		for _, a := range d.serviceAgents(e.serviceTag) {
 			if !d.eligible(now, a) {
 				continue
--- a/internal/segment/dispatch/send.go
+++ b/internal/segment/dispatch/send.go
@@ -15,7 +15,8 @@
 
 // review checks a flow against the configuration in force, unless it was checked since
 // the configuration came into force. If the route of the flow was removed, review returns
-// the decision to reset the flow and removes the entry; otherwise it returns nil. The
+// the decision to reset the flow and removes the entry; otherwise it returns nil. The same
+// holds for a queued flow that has no route in the first configuration. The
 // acknowledgement is that of the packet at hand, or 0 if there is none. A flow that no
 // host has accepted gets the service, the priority and the latency objective that its
 // route has now, and offers to hosts of another service no longer count.
@@ -28,6 +29,10 @@
 	}
 	e.version = d.routes.Version()
 	route := d.routes.Route(e.key.Destination())
+	if route == nil && e.phase == phaseQueued {
+		// The flow was queued before the first configuration came into force.
+		return d.reset(e, 0, ReasonNoRoute)
+	}
 	if route == nil || !e.firstKnown {
 		return nil
 	}
