dispatch: Search on while a balancer starts

Packets of open flows that arrived before the agents were known ended as not_found: the search had nobody to ask, and the caller sent its next copy up to 800 ms later. Agents that have denied the flow are not asked again, so further rounds cost little. TestSearchWaitsForAgents failed before the change.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -132,7 +132,8 @@
 	if err = c.validate(); err != nil {
 		return nil, err
 	}
-	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre})
+	startedAt := time.Now()
+	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre, StartedAt: startedAt})
 	if err != nil {
 		return nil, err
 	}
@@ -142,7 +143,7 @@
 	}
 	b = &Balancer{
 		config: c, core: core, decisions: logging.NewDecisionLog(c.Logger), peers: others,
-		startedAt: time.Now(), timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16), digestWake: make(chan struct{}, 1),
+		startedAt: startedAt, timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16), digestWake: make(chan struct{}, 1),
 	}
 	if b.packetSocket, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PacketPort), c.Metrics); err != nil {
 		return nil, err
@@ -279,7 +280,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.core.Expire(now)
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateListComplete(now)
 	m := b.config.Metrics
 	m.Gauge("flows").Update(int64(b.core.FlowCount()))
 	m.Gauge("agents.answering").Update(int64(b.core.AnsweringCount(now)))
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -75,7 +75,7 @@
 			"state", m.State, "agent_stopping", m.Stopping)
 	}
 	if b.isStarting(now) {
-		b.core.SetAgentListComplete(b.agentsComplete(now))
+		b.updateListComplete(now)
 	}
 	for _, address := range m.Balancers {
 		b.peers.Add(now, address)
@@ -94,7 +94,7 @@
 		b.requestView(from)
 	}
 	b.compareAgents(now, from, m)
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateListComplete(now)
 	if m.ListRevision.Number == 0 && b.list.revision.Number != 0 {
 		// The sender has just started and waits for what others know.
 		b.sendMessage(from, b.digest(now))
@@ -267,6 +267,7 @@
 	b.mu.Lock()
 	previous := b.core.Routes().Version()
 	applied = b.core.SetRoutes(set)
+	b.wakeTimer()
 	b.mu.Unlock()
 	if applied {
 		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -136,7 +136,7 @@
 	}
 	b.storeDown = !reachable
 	b.peers.RecordStore(now, reachable)
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateListComplete(now)
 }
 
 // agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
@@ -153,6 +153,12 @@
 	return reachable && now.Sub(b.storeReturnedAt) > entryReturnDelay
 }
 
+// updateListComplete passes agentsComplete to the dispatcher, which may have flows that wait for it. b.mu must be held.
+func (b *Balancer) updateListComplete(now time.Time) {
+	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.wakeTimer()
+}
+
 // storeAge returns the time since the last response of the store, and whether this balancer watches the store and
 // reaches it. b.mu must be held.
 func (b *Balancer) storeAge(now time.Time) (age time.Duration, reachable bool) {
@@ -214,7 +220,7 @@
 	known, listed := b.list.revisions(), list.revisions()
 	b.list = list
 	b.core.SetListedAgents(now, list.addresses())
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateListComplete(now)
 	logging.Line(level.Info(b.config.Logger), "event", "agents_listed", "count", len(listed), "generation", list.revision.Generation,
 		"revision", list.revision.Number, "source", source)
 	for address, revision := range listed {
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -32,6 +32,9 @@
 	// firstStatusWindow is how long an agent without a status is asked for it at
 	// shorter intervals after it was added.
 	firstStatusWindow = 2 * time.Second
+	// startingTime is how long after its first list of agents a balancer counts as starting.
+	// Agents that the store does not list report to it within this time.
+	startingTime = 1200 * time.Millisecond
 	// maxUnansweredOffers is how many consecutive offers an agent may leave unanswered
 	// before it gets no more until its next message.
 	maxUnansweredOffers = 2
@@ -97,6 +100,12 @@
 	return float64(now.Sub(a.lastMessageAt)) > silentIntervals*float64(d.StatusInterval())
 }
 
+// isStarting reports whether the balancer was started and has no list of agents, or has
+// read the first one just before: agents may not have reported to it yet.
+func (d *Dispatcher) isStarting(now time.Time) bool {
+	return !d.startedAt.IsZero() && (d.firstListedAt.IsZero() || now.Sub(d.firstListedAt) < startingTime)
+}
+
 // awaitsStatus reports whether hosts may accept flows that are not known to do so yet: no
 // agent is known, or one that was added lately has not sent its status.
 func (d *Dispatcher) awaitsStatus(now time.Time) bool {
@@ -122,12 +131,18 @@
 		d.ensureAgent(now, address).listed = true
 	}
 	d.prune(now)
+	d.resumeSearches()
 }
 
 // SetAgentListComplete sets whether the listed agents are all that can be reached:
 // the store answers, and has done so for as long as lapsed entries take to come
 // back. Only then is a flow reset because every agent has denied it.
-func (d *Dispatcher) SetAgentListComplete(complete bool) { d.agentListComplete = complete }
+func (d *Dispatcher) SetAgentListComplete(complete bool) {
+	if complete && !d.agentListComplete {
+		d.resumeSearches()
+	}
+	d.agentListComplete = complete
+}
 
 // AddAgents adds agents that another balancer knows. Known agents stay as they are.
 func (d *Dispatcher) AddAgents(now time.Time, addresses []netip.Addr) {
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -70,6 +70,10 @@
 	// unless one elsewhere is expected to answer clearly sooner. If empty, the data
 	// centres of hosts are ignored.
 	DataCentre string
+	// StartedAt is when the balancer was started. Until shortly after its first list of
+	// agents, searches go on while more agents become known. If zero, the balancer counts as
+	// having run for long.
+	StartedAt time.Time
 }
 
 // Dispatcher decides on the packets of one balancer. It is not safe for concurrent
@@ -77,6 +81,7 @@
 type Dispatcher struct {
 	routes     *routes.Set
 	dataCentre string
+	startedAt  time.Time
 	// removedAddresses holds the addresses that had a route in an earlier
 	// configuration and have none now.
 	removedAddresses map[netip.AddrPort]bool
@@ -113,7 +118,7 @@
 		c.MaxFlows = 100_000
 	}
 	return &Dispatcher{
-		dataCentre: c.DataCentre, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
+		dataCentre: c.DataCentre, startedAt: c.StartedAt, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32]*service), flows: newFlowTable(c.MaxFlows),
 	}, nil
 }
@@ -131,6 +136,9 @@
 	for address := range set.Addresses() {
 		delete(d.removedAddresses, address)
 	}
+	if d.routes == nil {
+		d.resumeSearches()
+	}
 	d.routes = set
 	return true
 }
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -83,6 +83,10 @@
 	onlyCandidate *agent
 	// buffered are copies of the packets that arrived during a search.
 	buffered [][]byte
+	// The search goes on until searchUntil, even if no agent can be asked. resumes is set
+	// while it waits to ask again.
+	searchUntil time.Time
+	resumes     bool
 	// acknowledgement is the caller's last acknowledgement, or 0 if none is known. A reset
 	// needs it as its sequence number.
 	acknowledgement uint32
@@ -152,7 +156,7 @@
 func (e *flowEntry) setOwner(owner netip.Addr) {
 	e.phase, e.owner = phaseEstablished, owner
 	e.triedAgents, e.deniedBy, e.firstPacket, e.returnedOffers, e.deadline = nil, nil, nil, 0, time.Time{}
-	e.awaitedAgents, e.unsureAgents, e.probing, e.probesSent, e.onlyCandidate = nil, nil, false, nil, nil
+	e.awaitedAgents, e.unsureAgents, e.probing, e.resumes, e.probesSent, e.onlyCandidate = nil, nil, false, false, nil, nil
 }
 
 // flowTable holds the flows by key and in the order of their last use.
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -19,6 +19,10 @@
 	// probePackets is how many packets a probe sends. It takes two because hosts
 	// acknowledge every second packet.
 	probePackets = 2
+	// maxSearchTime bounds how long a balancer that has just started searches for a flow,
+	// from the first packet of the search on. Callers send at least two copies of a packet
+	// within this time.
+	maxSearchTime = 1200 * time.Millisecond
 )
 
 // searchScope is the set of agents that a search asks together in a round of
@@ -45,7 +49,7 @@
 // startSearch begins a search for the host that holds a flow and buffers the packet.
 func (d *Dispatcher) startSearch(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
 	e.phase, e.scope, e.acknowledgement = phaseSearching, scopeRoute, s.Acknowledgement
-	e.owner = netip.Addr{}
+	e.owner, e.resumes, e.searchUntil = netip.Addr{}, false, now.Add(maxSearchTime)
 	e.triedAgents, e.returnedOffers, e.unsureAgents, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil
 	d.flows.bufferPacket(e, s.Data)
 	return d.queueLookup(now, e)
@@ -140,6 +144,11 @@
 	if d.heldNowhere(now, e) {
 		return d.reset(e, e.acknowledgement, ReasonHeldNowhere)
 	}
+	if d.mayFindLater(now, e) {
+		e.probing, e.resumes = false, true
+		d.setDeadline(e, now.Add(searchRetryDelay))
+		return nil
+	}
 	buffered := d.flows.takeBuffered(e)
 	e.phase, e.probing, e.deadline, e.retryAt = phaseNotFound, false, time.Time{}, now.Add(searchRetryDelay)
 	if e.onlyCandidate = d.onlyCandidate(now, e); e.onlyCandidate == nil {
@@ -148,6 +157,29 @@
 	return d.forward(e, e.onlyCandidate.address, StepSearch, buffered[e.probesSentTo(e.onlyCandidate.address):]...)
 }
 
+// mayFindLater reports whether a search that has found no owner is to be continued
+// because the balancer has just started: agents that were not asked may hold the flow, or
+// it becomes clear that none does.
+func (d *Dispatcher) mayFindLater(now time.Time, e *flowEntry) bool {
+	return d.isStarting(now) && now.Before(e.searchUntil) && d.onlyCandidate(now, e) == nil
+}
+
+// resumeSearch asks the agents that have not denied the flow once more.
+func (d *Dispatcher) resumeSearch(now time.Time, e *flowEntry) (decisions []Decision) {
+	e.resumes, e.scope = false, scopeRoute
+	return d.queueLookup(now, e)
+}
+
+// resumeSearches makes the next Tick continue the searches that wait to ask again.
+func (d *Dispatcher) resumeSearches() {
+	for _, e := range d.deadlines {
+		if e.resumes && !e.deadline.IsZero() {
+			e.deadline = e.lastUsed
+			d.wakeBy(e.deadline)
+		}
+	}
+}
+
 // nextProbe returns the next agent to probe, or nil. Agents early in the rendezvous
 // order of the flow come first, because the host that the flow was placed at is
 // among them.
--- a/internal/segment/dispatch/start_test.go
+++ b/internal/segment/dispatch/start_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"agateramp/internal/core/flow"
 	"agateramp/internal/segment/packet"
 )
 
@@ -13,7 +14,7 @@
 func newStartingBalancer(t *testing.T) *testBalancer {
 	t.Helper()
 	is := is.New(t)
-	d, err := New(Config{})
+	d, err := New(Config{StartedAt: startTime})
 	is.NoErr(err)
 	return &testBalancer{Dispatcher: d, is: is, now: startTime}
 }
@@ -83,3 +84,82 @@
 	b.is.Equal(len(b.queue.waiting), maxQueuedFlows)
 	b.is.Equal(b.FlowCount(), maxQueuedFlows)
 }
+
+// Guards against flows that are not found because their packets arrive before the agents
+// are known: their callers send the next copy up to 800 ms later. Flows that are lost are
+// reset as soon as that is known, and packets are not kept for longer than callers wait.
+func TestSearchWaitsForAgents(t *testing.T) {
+	later := segment(packet.ACK, 101, 6000)
+	key := later.KeyFromCaller()
+	list := func(b *testBalancer) {
+		b.advance(lookupInterval)
+		b.SetRoutes(routeSet(t, 1, studioAddr, otherAddr))
+		b.SetListedAgents(b.now, []netip.Addr{host(1), host(9)})
+		b.is.Equal(len(b.lookups(b.Tick(b.now))), 2) // all agents are asked at once
+		b.reportStatus(host(1), "studio", packet.HostReady)
+		b.reportStatus(host(9), "archive", packet.HostReady)
+	}
+	cases := []struct {
+		name string
+		then func(b *testBalancer) []Decision
+		next Decision
+	}{
+		{"an agent holds the flow", func(b *testBalancer) []Decision {
+			list(b)
+			return b.HandleLocated(b.now, host(1), []flow.Key{key}, nil, nil, packet.Load{})
+		}, Forward{Step: StepOwner}},
+		{"no agent holds the flow", func(b *testBalancer) []Decision {
+			list(b)
+			b.HandleLocated(b.now, host(1), nil, []flow.Key{key}, nil, packet.Load{})
+			b.HandleLocated(b.now, host(9), nil, []flow.Key{key}, nil, packet.Load{})
+			b.advance(searchTimeout)
+			b.is.Equal(len(b.Tick(b.now)), 0)
+			b.SetAgentListComplete(true)
+			return b.Tick(b.now)
+		}, Reset{Reason: ReasonHeldNowhere}},
+		{"the list stays incomplete", func(b *testBalancer) []Decision {
+			list(b)
+			b.HandleLocated(b.now, host(1), nil, []flow.Key{key}, nil, packet.Load{})
+			b.advance(searchTimeout)
+			b.Tick(b.now)
+			b.advance(searchRetryDelay)
+			lookups := b.lookups(b.Tick(b.now))
+			b.is.Equal(len(lookups), 1) // agents that have denied the flow are not asked again
+			b.is.Equal(lookups[0].Agent, host(9))
+			b.advance(maxSearchTime)
+			return b.Tick(b.now)
+		}, Drop{Reason: ReasonNotFound}},
+		{"no list comes", func(b *testBalancer) []Decision {
+			b.advance(maxSearchTime)
+			return b.Tick(b.now)
+		}, Drop{Reason: ReasonNotFound}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newStartingBalancer(t)
+			b.is.Equal(len(b.HandlePacket(b.now, later)), 0)
+			var next Decision
+			switch d := c.then(b)[0].(type) {
+			case Forward:
+				b.is.Equal(d.Data, later.Data)
+				next = Forward{Step: d.Step}
+			case Reset:
+				next = Reset{Reason: d.Reason}
+			case Drop:
+				next = Drop{Reason: d.Reason}
+			}
+			b.is.Equal(next, c.next)
+			b.is.Equal(b.flows.bufferedCount, 0)
+		})
+	}
+}
+
+// lookups returns the lookups among decisions.
+func (b *testBalancer) lookups(decisions []Decision) (lookups []Lookup) {
+	for _, d := range decisions {
+		if l, ok := d.(Lookup); ok {
+			lookups = append(lookups, l)
+		}
+	}
+	return lookups
+}
--- a/internal/segment/dispatch/timer.go
+++ b/internal/segment/dispatch/timer.go
@@ -80,6 +80,9 @@
 		}
 		return d.offer(now, e, e.firstPacket, StepHedge)
 	case phaseSearching:
+		if e.resumes {
+			return d.resumeSearch(now, e)
+		}
 		return d.continueSearch(now, e)
 	case phaseNotFound, phaseEstablished, phaseQueued:
 	}
