registry: Overlap the reads of a store that does not respond

A call that the store receives during an outage never gets a response, also not after the store's return. A balancer that started 60 ms before the return waited 350 ms for its first read to time out, and up to 200 ms for the next. Reads of all entries now overlap: further ones start after about 100, 300 and 700 ms and then every 600 ms, within the retry budget of the process, 3 a second. If a later read is answered before an earlier one, the store counts as returned from an outage, as it did after a time-out.

--- a/internal/segment/registry/mirror.go
+++ b/internal/segment/registry/mirror.go
@@ -18,6 +18,7 @@
 
 	"agateramp/internal/keyvalue/backoff"
 	"agateramp/internal/keyvalue/store"
+	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 )
 
@@ -29,13 +30,14 @@
 	// retriesPerSecond suffices for two mirrors that each retry every 800 ms. Reads after compacted history count as
 	// retries too, because they could otherwise repeat without a pause.
 	retriesPerSecond = 3
-	// retryBurst lets the mirrors of a process, which lose the store at the same time, retry at once.
+	// retryBurst lets the mirrors of a process, which lose the store at the same time, retry at once, and the reads of
+	// a process that has just started overlap.
 	retryBurst = 3
 )
 
-// firstListTimeouts limit the first attempts of a full read. A call that the store received while it did not respond
-// gets no response after its return either, so the first calls are repeated soon.
-var firstListTimeouts = [...]time.Duration{350 * time.Millisecond, 600 * time.Millisecond}
+// overlapBackoff spaces the reads of all entries that are started while earlier ones have no response, by about 100, 200,
+// 400 and then 600 ms. The store usually responds within a few milliseconds, and a call times out after 1 s.
+var overlapBackoff = backoff.Policy{First: 50 * time.Millisecond, Max: 600 * time.Millisecond}
 
 // NewRetryBudget returns the retry budget that all mirrors and registrars of a process share.
 func NewRetryBudget() *backoff.Budget { return backoff.NewBudget(retriesPerSecond, retryBurst) }
@@ -112,7 +114,7 @@
 // of a watch it reads all entries again, because the store may have been restored meanwhile.
 func (m *Mirror) Run(ctx context.Context) (err error) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
-		revision, err := m.list(ctx, attempt)
+		revision, err := m.list(ctx)
 		if err == nil {
 			attempt = 0
 			err = m.watch(ctx, revision)
@@ -134,18 +136,18 @@
 }
 
 // list replaces the copy by a full read and returns the revision of the store at that read.
-func (m *Mirror) list(ctx context.Context, attempt int) (revision store.Revision, err error) {
-	if attempt < len(firstListTimeouts) {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, firstListTimeouts[attempt])
-		defer cancel()
+func (m *Mirror) list(ctx context.Context) (revision store.Revision, err error) {
+	r := m.read(ctx)
+	if r.err != nil {
+		return revision, r.err
 	}
-	entries, revision, err := m.config.Store.List(ctx, m.config.Prefix)
-	if err != nil {
-		return revision, err
+	if r.number > 0 {
+		// The store has returned from an outage.
+		m.reportState(errNoResponse)
 	}
-	m.entries = make(map[string]store.Entry, len(entries))
-	for _, e := range entries {
+	revision = r.revision
+	m.entries = make(map[string]store.Entry, len(r.entries))
+	for _, e := range r.entries {
 		m.entries[e.Key] = e
 	}
 	if m.stateReported && revision.Generation != m.revision.Generation {
@@ -158,6 +160,74 @@
 	return revision, nil
 }
 
+// errNoResponse is the error of a read that has no response while a later one has.
+var errNoResponse = errors.WithMessage(store.ErrUnavailable, "no response to an earlier read")
+
+// readResult is the result of a read of all entries. number counts the overlapping reads from 0.
+type readResult struct {
+	number   int
+	entries  []store.Entry
+	revision store.Revision
+	err      error
+}
+
+// read reads all entries. As long as there is no response, it starts further reads within the retry budget, because the
+// store never responds to calls that it received during an outage, also not after its return. It returns the first
+// response, or an error if no read is left.
+func (m *Mirror) read(ctx context.Context) readResult {
+	reads := group.New(ctx)
+	defer func() {
+		reads.Stop()
+		// The tasks report errors as results.
+		_ = reads.Wait()
+	}()
+	results, due := make(chan readResult), make(chan struct{})
+	startRead := func(number int) {
+		reads.Go("read", func(ctx context.Context) error {
+			entries, revision, err := m.config.Store.List(ctx, m.config.Prefix)
+			select {
+			case results <- readResult{number: number, entries: entries, revision: revision, err: err}:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
+	reads.Go("pace", func(ctx context.Context) error {
+		m.paceReads(ctx, due)
+		return nil
+	})
+	startRead(0)
+	for started, ended := 1, 0; ; {
+		select {
+		case <-ctx.Done():
+			return readResult{err: ctx.Err()}
+		case <-due:
+			startRead(started)
+			started++
+		case r := <-results:
+			ended++
+			if r.err == nil || ended == started {
+				return r
+			}
+			m.reportState(r.err)
+		}
+	}
+}
+
+// paceReads sends to due whenever another read is to be started, until ctx ends.
+func (m *Mirror) paceReads(ctx context.Context, due chan<- struct{}) {
+	for attempt := 1; ; attempt++ {
+		if overlapBackoff.Sleep(ctx, attempt) != nil || m.config.RetryBudget.Wait(ctx) != nil {
+			return
+		}
+		select {
+		case due <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // watch applies the changes after a revision until the watch fails, for example because the history was compacted or the
 // store is unavailable.
 func (m *Mirror) watch(ctx context.Context, revision store.Revision) (err error) {
