balancer: Announce the first configuration to balancers without one

After a loss of power all balancers wait for the configuration, and one that read it from another balancer kept it to itself until its next digest, up to 400 ms later. A balancer that gets its first configuration, from the store or from another balancer, now sends a digest to those whose last digest showed none, and they read its view.

--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -256,8 +256,9 @@
 	}
 }
 
-// applyConfig puts a configuration in force if it is newer than the current one, and reports whether it did. The source
-// is named in the log.
+// applyConfig puts a configuration in force if it is newer than the current one, and reports whether it did. The first one
+// is announced to the balancers that have none: after a loss of power most of them wait for it. The source is named in the
+// log.
 func (b *Balancer) applyConfig(raw []byte, source string) (applied bool) {
 	set, err := b.config.DecodeConfig(raw)
 	if err != nil {
@@ -268,6 +269,12 @@
 	previous := b.core.Routes().Version()
 	applied = b.core.SetRoutes(set)
 	b.wakeTimer()
+	if applied && previous == 0 {
+		digest := b.digest(time.Now())
+		for _, address := range b.peers.WithoutConfig() {
+			b.sendMessage(address, digest)
+		}
+	}
 	b.mu.Unlock()
 	if applied {
 		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
--- a/internal/segment/peers/peers.go
+++ b/internal/segment/peers/peers.go
@@ -133,6 +133,17 @@
 
 func (p *peer) isEstablished() bool { return !p.digestAt.IsZero() && !p.digest.Starting }
 
+// WithoutConfig returns the addresses of the balancers that had no configuration at their
+// last digest, in no particular order.
+func (s *Set) WithoutConfig() (addresses []netip.Addr) {
+	for address, p := range s.byAddress {
+		if !p.digestAt.IsZero() && p.digest.ConfigVersion == 0 {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // Expire removes the balancers that have sent no digest for too long.
 func (s *Set) Expire(now time.Time) {
 	ttl := max(minTTL, time.Duration(ttlIntervals*float64(s.quietInterval())))
--- a/internal/segment/peers/peers_test.go
+++ b/internal/segment/peers/peers_test.go
@@ -277,6 +277,18 @@
 }
 
 // Guards against a set that is created without the address of its balancer.
+// Guards against balancers that wait for the next digest although another one has just got
+// the first configuration.
+func TestWithoutConfig(t *testing.T) {
+	is := is.New(t)
+	s, err := New(Config{Self: testAddress(1)})
+	is.NoErr(err)
+	s.Add(start, testAddress(2)) // has sent no digest
+	s.HandleDigest(start, testAddress(3), message.Digest{ConfigVersion: 5})
+	s.HandleDigest(start, testAddress(4), message.Digest{})
+	is.Equal(s.WithoutConfig(), []netip.Addr{testAddress(4)})
+}
+
 func TestNewChecksConfig(t *testing.T) {
 	_, err := New(Config{})
 	is.New(t).True(err != nil)
