balancer: Settle lost flows at once after a loss of power

After a loss of power of everything, flows of before are reset at once only if all hosts are seen to have just started. Two cases delayed that by 1.2 s. And a balancer that saw the store return waited for lapsed entries, although nothing had survived. An agent that has not seen its host still has to deny each flow itself. The new cases of TestResetsAfterStart failed before the change.

--- a/internal/segment/balancer/start.go
+++ b/internal/segment/balancer/start.go
@@ -17,5 +17,11 @@
 	case b.peers.AnyEstablished():
 		return !b.agentsCompared || !b.peers.ListIsComplete(now, b.list.revision)
 	}
-	return !b.core.HostsJustStarted()
+	return !b.nothingSurvived(now)
+}
+
+// nothingSurvived reports whether everything has lost power just before, so that no flow from before is left: the balancer
+// is starting, no balancer is established, and all hosts have just started. b.mu must be held.
+func (b *Balancer) nothingSurvived(now time.Time) bool {
+	return b.isStarting(now) && !b.peers.AnyEstablished() && b.core.HostsJustStarted()
 }
--- a/internal/segment/balancer/start_test.go
+++ b/internal/segment/balancer/start_test.go
@@ -80,6 +80,10 @@
 	waiting, starting := established, established
 	waiting.ListComplete = false
 	starting.Starting, starting.ListComplete = true, false
+	returnStore := func(b *Balancer, _ time.Time) {
+		b.handleStoreReachable(false)
+		b.handleStoreReachable(true)
+	}
 	const cold = time.Second
 	cases := []struct {
 		name string
@@ -100,6 +104,16 @@
 		{"one host is gone", cold, 0, func(b *Balancer, now time.Time) {
 			b.handleStatus(now, testAgent(3), message.Status{Node: "side", Service: "studio", State: packet.HostGone})
 		}, true},
+		{"one host of three was not seen yet", cold, 0, func(b *Balancer, now time.Time) {
+			b.handleStatus(now, testAgent(3), message.Status{Node: "side", Service: "studio", State: packet.HostUnknown})
+		}, true},
+		{"most hosts were not seen yet", cold, 0, func(b *Balancer, now time.Time) {
+			for n := range byte(3) {
+				b.handleStatus(now, testAgent(n+3), message.Status{Node: "side", Service: "studio", State: packet.HostUnknown})
+			}
+		}, false},
+		{"all hosts have just started, and the store has just returned", cold, 0, returnStore, true},
+		{"hosts ran before, and the store has just returned", 0, 0, returnStore, false},
 		{"another balancer has the complete list and the same agents", 0, 0, handle(established, true), true},
 		{"another balancer has the complete list and other agents", 0, 0, handle(established, false), false},
 		{"another balancer has the complete list, its view was read", 0, 0, func(b *Balancer, now time.Time) {
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -140,8 +140,8 @@
 }
 
 // agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
-// during an outage of the store, until entryReturnDelay after an outage or a restore, and while mayMissAgents holds. A
-// balancer that does not watch the store relies on the watchers. b.mu must be held.
+// during an outage of the store, until entryReturnDelay after an outage or a restore unless everything lost power, and while
+// mayMissAgents holds. A balancer that does not watch the store relies on the watchers. b.mu must be held.
 func (b *Balancer) agentsComplete(now time.Time) bool {
 	switch {
 	case b.list.revision.Number == 0 || b.mayMissAgents(now):
@@ -150,7 +150,7 @@
 		return b.peers.ListIsComplete(now, b.list.revision)
 	}
 	_, reachable := b.storeAge(now)
-	return reachable && now.Sub(b.storeReturnedAt) > entryReturnDelay
+	return reachable && (b.nothingSurvived(now) || now.Sub(b.storeReturnedAt) > entryReturnDelay)
 }
 
 // updateListComplete passes agentsComplete to the dispatcher, which may have flows that wait for it. b.mu must be held.
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -268,20 +268,23 @@
 	return addresses
 }
 
-// HostsJustStarted reports whether the hosts of all known agents had just started when
-// their agents first reported them, except for those that are gone. Right after the start
-// of a balancer, no host holds a flow from before then.
+// HostsJustStarted reports whether all hosts have just started: no known agent has reported
+// a host that ran before, and of the agents whose host is not gone at least half first
+// reported a host that had just started. The others have not seen their host yet. Right
+// after the start of a balancer, no host holds a flow from before then.
 func (d *Dispatcher) HostsJustStarted() bool {
-	anyStarted := false
+	started, notSeen := 0, 0
 	for _, a := range d.agentList {
 		switch {
-		case a.statusKnown && a.startSeen:
-			anyStarted = true
-		case !a.statusKnown || a.status.State != packet.HostGone:
+		case !a.statusKnown || a.status.State == packet.HostUnknown:
+			notSeen++
+		case a.startSeen:
+			started++
+		case a.status.State != packet.HostGone:
 			return false
 		}
 	}
-	return anyStarted
+	return started > 0 && started >= notSeen
 }
 
 // IsListed reports whether the store lists an agent.
