dispatch: Read waiting answers before handling time-outs

A balancer with a small share of a processor is stalled for longer than it waits for an answer, and then handled the time-out of an offer before the answer that was waiting to be read: the packet was offered once more, which cost more processor time. Deadlines that passed more than 20 ms ago are postponed once by 10 ms. TestStalledBalancerReadsAnswersFirst failed before the change.

--- a/internal/segment/dispatch/dispatch_test.go
+++ b/internal/segment/dispatch/dispatch_test.go
@@ -96,6 +96,28 @@
 	return owner
 }
 
+// Guards against offers to further hosts although the answer has arrived: a balancer with a
+// small share of a processor is stalled for longer than it waits for an answer.
+func TestStalledBalancerReadsAnswersFirst(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		b := newTestBalancer(t)
+		first := segment(packet.SYN, 100, 0)
+		owner := b.onlyForward(b.HandlePacket(b.now, first)).Agent
+		b.advance(offerTimeout + 2*stallThreshold)
+		b.is.Equal(len(b.Tick(b.now)), 0)
+		if answered {
+			b.HandleAccepted(b.now, owner, first.KeyFromCaller(), 5000, true, packet.Load{})
+		}
+		b.advance(stallGrace + 2*stallThreshold) // stalled again
+		decisions := b.Tick(b.now)
+		if answered {
+			b.is.Equal(len(decisions), 0)
+			continue
+		}
+		b.is.Equal(b.onlyForward(decisions).Step, StepHedge)
+	}
+}
+
 // Guards against packets of an open flow that are sent to another host than its
 // owner when hosts join or drain, the agent of the owner does not answer, or the
 // configuration moves the route to another service.
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -97,6 +97,8 @@
 	// deadline is when the wait for an answer to an offer, a round of lookups or a
 	// probe ends; zero means none.
 	deadline time.Time
+	// postponed is set if the deadline was postponed because the process was stalled.
+	postponed bool
 	// inDeadlines is set while the entry is in Dispatcher.deadlines.
 	inDeadlines bool
 	// From retryAt on, the next packet of a flow that was not found starts another
--- a/internal/segment/dispatch/start_test.go
+++ b/internal/segment/dispatch/start_test.go
@@ -127,6 +127,8 @@
 			b.is.Equal(len(lookups), 1) // agents that have denied the flow are not asked again
 			b.is.Equal(lookups[0].Agent, host(9))
 			b.advance(maxSearchTime)
+			b.Tick(b.now)
+			b.advance(stallGrace)
 			return b.Tick(b.now)
 		}, Drop{Reason: ReasonNotFound}},
 		{"no list comes", func(b *testBalancer) []Decision {
--- a/internal/segment/dispatch/timer.go
+++ b/internal/segment/dispatch/timer.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+const (
+	// stallThreshold is how long after a deadline Tick may handle it before the process counts
+	// as stalled: it had no processor time, and answers may wait to be read.
+	stallThreshold = 20 * time.Millisecond
+	// stallGrace is the time to read the answers that came during a stall.
+	stallGrace = 10 * time.Millisecond
+)
+
 // awaitAnswer keeps a copy of a first packet and sets the deadline for the answer to
 // its offer.
 func (d *Dispatcher) awaitAnswer(now time.Time, e *flowEntry, data []byte, timeout time.Duration) {
@@ -15,7 +23,7 @@
 		e.inDeadlines = true
 		d.deadlines = append(d.deadlines, e)
 	}
-	e.deadline = deadline
+	e.deadline, e.postponed = deadline, false
 	d.wakeBy(deadline)
 }
 
@@ -51,6 +59,10 @@
 		case now.Before(e.deadline):
 			d.deadlines = append(d.deadlines, e)
 			d.wakeBy(e.deadline)
+		case e.mayBeStalled(now):
+			e.deadline, e.postponed = now.Add(stallGrace), true
+			d.deadlines = append(d.deadlines, e)
+			d.wakeBy(e.deadline)
 		default:
 			e.deadline, e.inDeadlines = time.Time{}, false
 			decisions = append(decisions, d.handleTimeout(now, e)...)
@@ -60,6 +72,12 @@
 	return append(decisions, d.releaseQueued(now)...)
 }
 
+// mayBeStalled reports whether the deadline of the entry passed while the process was
+// stalled, so that the answer may wait to be read. That counts once for each deadline.
+func (e *flowEntry) mayBeStalled(now time.Time) bool {
+	return !e.resumes && !e.postponed && now.Sub(e.deadline) > stallThreshold
+}
+
 // startRoundIfDue starts the next round of lookups if flows wait for it and it is
 // time.
 func (d *Dispatcher) startRoundIfDue(now time.Time) (decisions []Decision) {
