dispatch: Offer full hosts less often while others fill them

After a loss of power hosts are slow from their start and full, and 26 balancers with queued flows offered each host a flow every 20 ms: a small balancer handled 1,540 returned offers a second for 150 accepted flows, most of its processor time. The time until the next offer now doubles, up to 80 ms, whenever a host returns a packet as busy again after it, and starts anew when the host accepts a flow. Answers to lookups no longer count as a sign of room. TestFullHostIsOfferedLessOften failed before the change.

--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -80,6 +80,10 @@
 	// Until fullUntil the host is assumed to have no room for any flow, and until
 	// fullForLateUntil to have no free slot for a late flow.
 	fullUntil, fullForLateUntil time.Time
+	// busyReturns counts how often in a row the host has returned a first packet as busy,
+	// and busyUntil is until when it was last left without offers for that.
+	busyReturns int
+	busyUntil   time.Time
 }
 
 // eligible reports whether the host may be offered new flows.
@@ -223,14 +227,13 @@
 }
 
 // recordMessage records that an agent has sent a message, and the load in the message
-// unless its number of slots is 0. The host then no longer counts as full.
-// recordMessage returns the agent, or nil if the agent is unknown.
+// unless its number of slots is 0. It returns the agent, or nil if the agent is unknown.
 func (d *Dispatcher) recordMessage(now time.Time, address netip.Addr, l packet.Load) *agent {
 	a := d.agents[address]
 	if a == nil {
 		return nil
 	}
-	a.lastMessageAt, a.unansweredOffers, a.fullUntil, a.fullForLateUntil = now, 0, time.Time{}, time.Time{}
+	a.lastMessageAt, a.unansweredOffers = now, 0
 	if l.Slots > 0 {
 		a.status.Load, a.offersSinceReport = l, 0
 	}
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -8,10 +8,13 @@
 
 const (
 	// fullBackoff is how long a host that has returned a first packet as busy is
-	// offered no other one, unless a message from its agent arrives earlier. Queued
-	// flows are offered to hosts at the same interval, and earlier after a host has
-	// answered a first packet.
+	// offered no other one, unless it accepts a flow earlier. Queued flows are offered
+	// to hosts at the same interval, and earlier after a host has answered a first
+	// packet.
 	fullBackoff = 20 * time.Millisecond
+	// maxBackoffDoublings bounds how often fullBackoff is doubled. A full host has
+	// requests for about 50 ms of work queued.
+	maxBackoffDoublings = 2
 	// maxQueueTime bounds how long a first packet waits for a host with room. Callers
 	// give up 1.4 s after their first packet.
 	maxQueueTime = 1200 * time.Millisecond
@@ -98,7 +101,7 @@
 		case a != nil:
 			// The host gets one offer at a time, until its answer shows whether it has
 			// room for another flow.
-			a.markFull(now, e.late)
+			a.markFull(now, e.late, fullBackoff)
 			a.offersSinceReport++
 			e.phase, e.triedAgents = phaseOpening, append(e.triedAgents, a)
 			data := e.firstPacket
@@ -203,15 +206,32 @@
 	return now.Before(a.fullUntil) || late && now.Before(a.fullForLateUntil)
 }
 
-// markFull records for fullBackoff that the host has no room for a flow. If the flow
-// is late, the host counts as full only for late flows.
-func (a *agent) markFull(now time.Time, late bool) {
-	a.fullForLateUntil = now.Add(fullBackoff)
+// markFull records for a while that the host has no room for a flow. If the flow is late,
+// the host counts as full only for late flows.
+func (a *agent) markFull(now time.Time, late bool, backoff time.Duration) {
+	a.fullForLateUntil = now.Add(backoff)
 	if !late {
 		a.fullUntil = a.fullForLateUntil
 	}
 }
 
+// recordBusy records that the host has returned a first packet as busy. If it does so
+// again after the time without offers, that time doubles: when many balancers have flows
+// queued for a host, almost all their offers would be returned.
+func (a *agent) recordBusy(now time.Time, late bool) {
+	if !now.Before(a.busyUntil) {
+		a.busyReturns++
+	}
+	backoff := fullBackoff << min(a.busyReturns-1, maxBackoffDoublings)
+	a.busyUntil = now.Add(backoff)
+	a.markFull(now, late, backoff)
+}
+
+// recordRoom records that the host has accepted a flow. It may have room for another one.
+func (a *agent) recordRoom() {
+	a.busyReturns, a.busyUntil, a.fullUntil, a.fullForLateUntil = 0, time.Time{}, time.Time{}, time.Time{}
+}
+
 // Busy reports whether a first packet is queued or offered to a host that has not
 // answered, or a flow is searched for.
 func (d *Dispatcher) Busy() bool {
--- a/internal/segment/dispatch/queue_test.go
+++ b/internal/segment/dispatch/queue_test.go
@@ -232,3 +232,27 @@
 	b.advance(firstStatusWindow)
 	b.is.Equal(len(b.AgentsWithoutStatus(b.now, 9)), 0)
 }
+
+// Guards against processor time that balancers spend on offers to hosts that many others
+// keep full, and against hosts that are left idle for it once they accept flows again.
+func TestFullHostIsOfferedLessOften(t *testing.T) {
+	b := newObjectiveBalancer(t)
+	b.reportStatus(host(1), "studio", packet.HostDraining)
+	b.reportStatus(host(2), "studio", packet.HostDraining)
+	s := firstPacket(1, studioAddr, 0)
+	b.queueAfterBusy(s)
+	var waits []time.Duration
+	for last := b.now; len(waits) < 4; b.advance(time.Millisecond) {
+		decisions := b.Tick(b.now)
+		if len(decisions) == 0 {
+			continue
+		}
+		waits, last = append(waits, b.now.Sub(last)), b.now
+		b.HandleReturned(b.now, b.onlyForward(decisions).Agent, s, packet.ReturnBusy, packet.Load{})
+	}
+	for i, doublings := range []int{0, 1, maxBackoffDoublings, maxBackoffDoublings} {
+		b.is.Equal(waits[i], fullBackoff<<doublings)
+	}
+	b.HandleAccepted(b.now, host(0), firstPacket(2, studioAddr, 0).KeyFromCaller(), 5000, true, packet.Load{})
+	b.is.Equal(b.onlyForward(b.Tick(b.now)).Agent, host(0))
+}
