--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -20,6 +20,8 @@
 	"agateramp/internal/process/group"
 	"agateramp/internal/process/logging"
 	"agateramp/internal/process/metrics"
+	"agateramp/internal/segment/coldstart"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/registry"
@@ -29,7 +31,8 @@
 
 // Config configures an Agent.
 type Config struct {
-	// Node names the machine, and DataCentre is the data centre of the machine. Node must be set.
+	// Node names the machine, and DataCentre is the data centre of the machine. Node must be set. If DataCentre is empty,
+	// the agent cannot return new flows because of an evacuation.
 	Node, DataCentre string
 	// Address is the IP address of the machine, on which the agent listens. Must be set.
 	Address netip.Addr
@@ -48,6 +51,8 @@
 	HeartbeatInterval time.Duration
 	// FlowLifetime is the longest lifetime of a flow. If zero, flows may live without a limit.
 	FlowLifetime time.Duration
+	// ColdBounds limit the new flows of the host while it is cold. If nil, they are not limited.
+	ColdBounds *coldstart.Bounds
 	// Seeds are addresses of machines that may run a balancer. The agent sends its status to them while no balancer
 	// sends a Hello. If empty, the agent waits until a balancer finds its entry.
 	Seeds []netip.Addr
@@ -123,7 +128,9 @@
 	configHolder  netip.Addr
 	// announcedState is the host's state that balancers were last sent.
 	announcedState packet.HostState
-	stopping       bool
+	// evacuations holds the operator's evacuations as balancers have reported them.
+	evacuations evacuation.Tracker
+	stopping    bool
 }
 
 // New opens the sockets of an agent and starts its goroutines in c.Group.
@@ -133,7 +140,8 @@
 		return nil, err
 	}
 	core, err := relay.New(relay.Config{
-		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, FlowLifetime: c.FlowLifetime,
+		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, StartedAt: time.Now(), FlowLifetime: c.FlowLifetime,
+		ColdBounds:     c.ColdBounds,
 		ObserveLatency: func(latency time.Duration) { c.Metrics.Latency("latency.host_us", latency) },
 	})
 	if err != nil {
@@ -214,14 +222,21 @@
 		case relay.Deliver:
 			a.config.Metrics.Counter("packets.delivered").Inc(1)
 			a.hostSocket.Send(a.config.HostAddress, d.Data)
+		case relay.Redeliver:
+			a.config.Metrics.Counter("packets.redelivered").Inc(1)
+			a.hostSocket.Send(a.config.HostAddress, d.Data)
 		case relay.SendToCaller:
 			a.config.Metrics.Counter("packets.answered").Inc(1)
 			a.packetSocket.Send(netip.AddrPortFrom(d.Flow.Source().Addr(), a.config.PacketPort), d.Data)
 		case relay.Return:
 			a.config.Metrics.Counter("packets.returned." + d.Reason.String()).Inc(1)
 			a.decisions.Log(now, "packet_returned", d.Reason.String(), "flow", packet.FlowName(d.Flow), "balancer", d.Balancer,
-				"host", a.core.HostID(), "heartbeat_age_ms", a.core.HeartbeatAge(now).Milliseconds())
-			a.sendMessage(d.Balancer, message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)})
+				"host", a.core.HostID(), "heartbeat_age_ms", a.heartbeatAge(now))
+			returned := message.Returned{Reason: d.Reason, Packet: d.Data, Load: a.core.Load(now)}
+			if d.Reason == packet.ReturnEvacuated {
+				returned.Evacuations = a.evacuations.State()
+			}
+			a.sendMessage(d.Balancer, returned)
 		case relay.Accept:
 			a.decisions.Log(now, "flow_accepted", "", "flow", packet.FlowName(d.Flow), "balancer", d.Balancer, "host", a.core.HostID(), "handshake", d.Handshake)
 			a.sendMessage(d.Balancer, message.Accepted{Flow: d.Flow, Sequence: d.Sequence, Handshake: d.Handshake, Load: a.core.Load(now)})
@@ -236,12 +251,25 @@
 	}
 }
 
-// checkHost counts unanswered first packets and announces the host's state if it has changed.
+// heartbeatAge returns the age of the host's last heartbeat in milliseconds for logs, or "unknown" if there is none. a.mu
+// must be held.
+func (a *Agent) heartbeatAge(now time.Time) any {
+	age, known := a.core.HeartbeatAge(now)
+	if !known {
+		return "unknown"
+	}
+	return age.Milliseconds()
+}
+
+// checkHost counts unanswered first packets, continues a verification of the open flows, and announces the host's state if
+// it has changed.
 func (a *Agent) checkHost() {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.updateEvacuated(now)
 	a.core.Tick(now)
+	a.execute(now, a.core.Verify())
 	a.announceState(now)
 }
 
@@ -254,14 +282,26 @@
 	m := a.config.Metrics
 	m.Gauge("flows").Update(int64(load.OpenFlows))
 	m.Gauge("host.busy").Update(int64(load.OutstandingRequests))
+	m.Gauge("host.cold_ms").Update(a.core.ColdRemaining(now).Milliseconds())
+	m.Gauge("host.cold_room").Update(coldRoom(load))
 	m.Gauge("host.latency_us").Update(load.Latency.Microseconds())
-	m.Gauge("host.heartbeat_age_ms").Update(a.core.HeartbeatAge(now).Milliseconds())
+	if age, known := a.core.HeartbeatAge(now); known {
+		m.Gauge("host.heartbeat_age_ms").Update(age.Milliseconds())
+	}
 	m.Gauge("config.version").Update(int64(a.configVersion))
 }
 
+// coldRoom returns how many new flows a cold host takes now, or -1 if they are not limited.
+func coldRoom(l packet.Load) int64 {
+	if !l.Cold {
+		return -1
+	}
+	return int64(l.ColdRoom)
+}
+
 // Stop makes the agent return the first packets of new flows and reports to the balancers that it is stopping. If the
-// host has ended or does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise the
-// entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
+// process of the host does not run, Stop removes the agent's entry from the store, and ctx limits that call. Otherwise
+// the entry stays for a restart of the agent, and Stop blocks for handshakeGraceTime. Stop does not stop the group.
 func (a *Agent) Stop(ctx context.Context) {
 	if a.hostRefuses() {
 		a.handleHostAbsent()
@@ -270,7 +310,7 @@
 	a.mu.Lock()
 	a.core.Stop()
 	a.stopping = true
-	hostGone := a.core.State(now) == packet.HostGone
+	hostGone := a.core.HostAbsent()
 	a.sendStatusToBalancers(now)
 	a.mu.Unlock()
 	logging.Line(level.Info(a.config.Logger), "event", "stopping", "host_gone", hostGone)
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/core/flow"
+	"agateramp/internal/segment/coldstart"
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/routes"
 )
@@ -70,6 +71,9 @@
 	// unless one elsewhere is expected to answer clearly sooner. If empty, the data
 	// centres of hosts are ignored.
 	DataCentre string
+	// ColdBounds are how far the new flows of a cold host may exceed the figure of the
+	// configuration. If nil, no flow is reset because all hosts are cold.
+	ColdBounds *coldstart.Bounds
 	// LookupsPerSecond bounds the lookups that are sent on average. If searches need more,
 	// more flows share each round. If 0, only the time between two rounds is bounded.
 	LookupsPerSecond int
@@ -109,6 +113,12 @@
 	firstListedAt time.Time
 	// agentListComplete is set while the store lists every agent that can be reached.
 	agentListComplete bool
+	// evacuated holds the evacuated data centres.
+	evacuated []string
+	// coldBounds are as in Config, and balancerCount is the number of balancers that share
+	// the hosts; 0 stands for one.
+	coldBounds    *coldstart.Bounds
+	balancerCount int
 }
 
 // New returns a dispatcher without routes and agents. It fails if c.MaxFlows or
@@ -126,7 +136,8 @@
 	return &Dispatcher{
 		dataCentre: c.DataCentre, startedAt: c.StartedAt, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32]*service), flows: newFlowTable(c.MaxFlows),
-		lookups: lookupRound{perSecond: float64(c.LookupsPerSecond)},
+		lookups:    lookupRound{perSecond: float64(c.LookupsPerSecond)},
+		coldBounds: c.ColdBounds,
 	}, nil
 }
 
@@ -219,6 +230,10 @@
 			return d.forward(e, a.agent, StepRepeat, s.Data)
 		}
 	}
+	if e.returnedOffers < len(e.triedAgents) && d.isEvacuated(now, e.serviceTag) {
+		// A host that was offered the flow before the evacuation may still accept it.
+		return []Decision{Drop{Flow: e.key, Reason: ReasonEvacuated}}
+	}
 	e.triedAgents, e.returnedOffers = nil, 0
 	return d.offer(now, e, s.Data, StepOffer)
 }
@@ -245,6 +260,9 @@
 		// A host that has not answered may still accept the flow.
 		return nil
 	}
+	if d.isEvacuated(now, e.serviceTag) {
+		return d.reset(e, 0, ReasonEvacuated)
+	}
 	if d.shouldQueue(now, e) {
 		return d.enqueue(now, e, data)
 	}
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"agateramp/internal/segment/coldstart"
 )
 
 const (
@@ -49,19 +51,19 @@
 	for _, a := range d.serviceAgents(e.serviceTag) {
 		if d.eligible(now, a) {
 			anyEligible = true
-			anyLeft = anyLeft || a.isFull(now, e.late) || !e.wasTried(a)
+			anyLeft = anyLeft || a.isFull(now, e.late) || !a.hasColdRoom(now) || !e.wasTried(a)
 		}
 	}
 	if anyEligible {
 		return age < maxQueueTime && anyLeft
 	}
-	return age < d.noHostTime(now) && len(e.triedAgents) == 0
+	return age < d.noHostTime(now) && (len(e.triedAgents) == 0 || d.mayLackHosts(now))
 }
 
 // noHostTime returns how long a first packet waits while no host of the service accepts
 // flows. A balancer that has just started does not know the hosts yet.
 func (d *Dispatcher) noHostTime(now time.Time) time.Duration {
-	if d.routes == nil || d.awaitsStatus(now) {
+	if d.routes == nil || len(d.agentList) == 0 || d.mayLackHosts(now) {
 		return maxQueueTime
 	}
 	return maxNoHostTime
@@ -88,6 +90,7 @@
 	waiting, decisions := d.takeQueued(now)
 	capacities := make(map[uint32]*serviceCapacity)
 	if d.checkCapacity(now, waiting, capacities) {
+		// The order decides which flows are offered or reset.
 		slices.SortStableFunc(waiting, compareUrgency)
 	}
 	var stillQueued []*flowEntry
@@ -101,7 +104,7 @@
 		case a != nil:
 			// The host gets one offer at a time, until its answer shows whether it has
 			// room for another flow.
-			a.markFull(now, e.late, fullBackoff)
+			a.markFull(now, e.late)
 			a.offersSinceReport++
 			e.phase, e.triedAgents = phaseOpening, append(e.triedAgents, a)
 			data := e.firstPacket
@@ -109,9 +112,14 @@
 			decisions = append(decisions, d.forward(e, a.address, StepQueued, data)...)
 		case !e.firstSentAt.After(c.expiredBefore):
 			decisions = append(decisions, d.reset(e, 0, c.resetReason)...)
+			continue
+		case c.allCold && !c.cold.Servable(c.ahead, e.firstSentAt.Add(maxQueueTime).Sub(now)):
+			decisions = append(decisions, d.reset(e, 0, ReasonCold)...)
+			continue
 		default:
 			stillQueued = append(stillQueued, e)
 		}
+		c.ahead++
 	}
 	d.queue.waiting = append(stillQueued, d.queue.waiting...)
 	return decisions
@@ -149,10 +157,17 @@
 	// full is set once no host has room for any flow, and fullForLate once none has a
 	// free slot for a late one.
 	full, fullForLate bool
+	// allCold is set if all hosts that accept flows are cold and their new flows are
+	// limited. cold is then what they take, and ahead the number of flows that are served
+	// before the next one in the order.
+	allCold bool
+	cold    coldstart.Capacity
+	ahead   int
 }
 
 // checkCapacity adds the capacity of each service that flows are queued for to
-// capacities, and reports whether any host may accept one of them.
+// capacities, and reports whether any host may accept one of them, or a cold host may
+// later.
 func (d *Dispatcher) checkCapacity(now time.Time, waiting []*flowEntry, capacities map[uint32]*serviceCapacity) (available bool) {
 	for _, e := range waiting {
 		if capacities[e.serviceTag] != nil {
@@ -167,11 +182,15 @@
 				continue
 			}
 			c.expiredBefore, c.resetReason = now.Add(-maxQueueTime), ReasonOverload
-			c.full = c.full && a.isFull(now, false)
-			c.fullForLate = c.fullForLate && a.isFull(now, true)
+			c.full = c.full && (a.isFull(now, false) || !a.hasColdRoom(now))
+			c.fullForLate = c.fullForLate && (a.isFull(now, true) || !a.hasColdRoom(now))
+		}
+		c.cold, c.allCold = d.coldCapacity(now, e.serviceTag)
+		if d.isEvacuated(now, e.serviceTag) {
+			c.expiredBefore, c.resetReason = now, ReasonEvacuated
 		}
 		capacities[e.serviceTag] = c
-		available = available || !c.full
+		available = available || !c.full || c.allCold
 	}
 	return available
 }
@@ -206,12 +225,15 @@
 	return now.Before(a.fullUntil) || late && now.Before(a.fullForLateUntil)
 }
 
-// markFull records for a while that the host has no room for a flow. If the flow is late,
-// the host counts as full only for late flows.
-func (a *agent) markFull(now time.Time, late bool, backoff time.Duration) {
-	a.fullForLateUntil = now.Add(backoff)
+// markFull records for fullBackoff that the host has no room for a flow. If the flow is
+// late, the host counts as full only for late flows.
+func (a *agent) markFull(now time.Time, late bool) { a.markFullUntil(now.Add(fullBackoff), late) }
+
+// markFullUntil does the same until a given time.
+func (a *agent) markFullUntil(until time.Time, late bool) {
+	a.fullForLateUntil = until
 	if !late {
-		a.fullUntil = a.fullForLateUntil
+		a.fullUntil = until
 	}
 }
 
@@ -222,9 +244,8 @@
 	if !now.Before(a.busyUntil) {
 		a.busyReturns++
 	}
-	backoff := fullBackoff << min(a.busyReturns-1, maxBackoffDoublings)
-	a.busyUntil = now.Add(backoff)
-	a.markFull(now, late, backoff)
+	a.busyUntil = now.Add(fullBackoff << min(a.busyReturns-1, maxBackoffDoublings))
+	a.markFullUntil(a.busyUntil, late)
 }
 
 // recordRoom records that the host has accepted a flow. It may have room for another one.
