--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -143,13 +143,21 @@
 	ready bool
 }
 
+// lookupsPerPermille is how many lookups a second a balancer may send for each thousandth of a processor core that it may
+// use. A lookup and its answer take about 10 us, so that they take at most a quarter of its processor time.
+const lookupsPerPermille = 25
+
 // New opens the sockets of a balancer and starts its goroutines in c.Group.
 func New(c Config) (b *Balancer, err error) {
 	defer func() { err = errors.WithMessage(err, "balancer") }()
 	if err = c.validate(); err != nil {
 		return nil, err
 	}
-	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre, ColdBounds: c.ColdBounds})
+	startedAt := time.Now()
+	core, err := dispatch.New(dispatch.Config{
+		MaxFlows: c.MaxFlows, DataCentre: c.DataCentre, LookupsPerSecond: lookupsPerPermille * c.CPUPermille, StartedAt: startedAt,
+		ColdBounds: c.ColdBounds,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -159,7 +167,7 @@
 	}
 	b = &Balancer{
 		config: c, core: core, decisions: logging.NewDecisionLog(c.Logger), peers: others,
-		startedAt: time.Now(), timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16), digestWake: make(chan struct{}, 1),
+		startedAt: startedAt, timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16), digestWake: make(chan struct{}, 1),
 	}
 	if b.packetSocket, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PacketPort), c.Metrics); err != nil {
 		return nil, err
@@ -297,7 +305,7 @@
 	defer b.mu.Unlock()
 	b.core.Expire(now)
 	b.core.SetBalancerCount(1 + len(b.peers.Addresses()))
-	b.updateStart(now)
+	b.updateListComplete(now)
 	b.updateEvacuated(now, "restore grace")
 	m := b.config.Metrics
 	m.Gauge("evacuations.data_centres").Update(int64(len(b.evacuated)))
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -76,7 +76,7 @@
 			"state", m.State, "agent_stopping", m.Stopping)
 	}
 	if b.isStarting(now) {
-		b.updateStart(now)
+		b.updateListComplete(now)
 	}
 	b.exchangeEvacuations(now, from, m.Evacuations)
 	for _, address := range m.Balancers {
@@ -97,7 +97,7 @@
 		b.requestView(from)
 	}
 	b.compareAgents(now, from, m)
-	b.updateStart(now)
+	b.updateListComplete(now)
 	if m.ListRevision.Number == 0 && b.list.revision.Number != 0 {
 		// The sender has just started and waits for what others know.
 		b.sendMessage(from, b.digest(now))
@@ -273,7 +273,8 @@
 
 // applyConfig puts a configuration in force if it is newer than the current one, and reports whether it did. The source
 // is named in the log. Without knowledge of the evacuations none is put in force, because new flows could then reach
-// hosts in an evacuated data centre.
+// hosts in an evacuated data centre. The first one is announced to the balancers that have none: after a loss of power most
+// of them wait for it.
 func (b *Balancer) applyConfig(raw []byte, source string) (applied bool) {
 	set, err := b.config.DecodeConfig(raw)
 	if err != nil {
@@ -283,6 +284,13 @@
 	b.mu.Lock()
 	previous := b.core.Routes().Version()
 	applied = (!b.usesEvacuations() || b.evacuations.State().Known()) && b.core.SetRoutes(set)
+	b.wakeTimer()
+	if applied && previous == 0 {
+		digest := b.digest(time.Now())
+		for _, address := range b.peers.WithoutConfig() {
+			b.sendMessage(address, digest)
+		}
+	}
 	b.mu.Unlock()
 	if applied {
 		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
--- a/internal/segment/balancer/start.go
+++ b/internal/segment/balancer/start.go
@@ -17,12 +17,11 @@
 	case b.peers.AnyEstablished():
 		return !b.agentsCompared || !b.peers.ListIsComplete(now, b.list.revision)
 	}
-	return !b.core.HostsJustStarted()
+	return !b.nothingSurvived(now)
 }
 
-// updateStart decides on the circumstances of the balancer's start and whether the known agents are all that exist. b.mu
-// must be held.
-func (b *Balancer) updateStart(now time.Time) {
-	b.core.UpdateStart(b.isStarting(now), b.peers.AnyEstablished())
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+// nothingSurvived reports whether everything has lost power just before, so that no flow from before is left: the balancer
+// is starting, no balancer is established, and all hosts have just started. b.mu must be held.
+func (b *Balancer) nothingSurvived(now time.Time) bool {
+	return b.isStarting(now) && !b.peers.AnyEstablished() && b.core.HostsJustStarted()
 }
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -136,12 +136,12 @@
 	}
 	b.storeDown = !reachable
 	b.peers.RecordStore(now, reachable)
-	b.updateStart(now)
+	b.updateListComplete(now)
 }
 
 // agentsComplete reports whether the known agents are all that exist. The list is incomplete before the first read,
-// during an outage of the store, until entryReturnDelay after an outage or a restore, and while mayMissAgents holds. A
-// balancer that does not watch the store relies on the watchers. b.mu must be held.
+// during an outage of the store, until entryReturnDelay after an outage or a restore unless everything lost power, and while
+// mayMissAgents holds. A balancer that does not watch the store relies on the watchers. b.mu must be held.
 func (b *Balancer) agentsComplete(now time.Time) bool {
 	switch {
 	case b.list.revision.Number == 0 || b.mayMissAgents(now):
@@ -150,7 +150,14 @@
 		return b.peers.ListIsComplete(now, b.list.revision)
 	}
 	_, reachable := b.storeAge(now)
-	return reachable && now.Sub(b.storeReturnedAt) > entryReturnDelay
+	return reachable && (b.nothingSurvived(now) || now.Sub(b.storeReturnedAt) > entryReturnDelay)
+}
+
+// updateListComplete passes agentsComplete to the dispatcher, which may have flows that wait for it. b.mu must be held.
+func (b *Balancer) updateListComplete(now time.Time) {
+	b.core.UpdateStart(b.isStarting(now), b.peers.AnyEstablished())
+	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.wakeTimer()
 }
 
 // storeAge returns the time since the last response of the store, and whether this balancer watches the store and
@@ -203,7 +210,7 @@
 	known, listed := b.list.revisions(), list.revisions()
 	b.list = list
 	b.core.SetListedAgents(now, list.addresses())
-	b.updateStart(now)
+	b.updateListComplete(now)
 	logging.Line(level.Info(b.config.Logger), "event", "agents_listed", "count", len(listed), "generation", list.revision.Generation,
 		"revision", list.revision.Number, "source", source)
 	for address, revision := range listed {
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -74,6 +74,13 @@
 	// ColdBounds are how far the new flows of a cold host may exceed the figure of the
 	// configuration. If nil, no flow is reset because all hosts are cold.
 	ColdBounds *coldstart.Bounds
+	// LookupsPerSecond bounds the lookups that are sent on average. If searches need more,
+	// more flows share each round. If 0, only the time between two rounds is bounded.
+	LookupsPerSecond int
+	// StartedAt is when the balancer was started. Until shortly after its first list of
+	// agents, searches go on while more agents become known. If zero, the balancer counts as
+	// having run for long.
+	StartedAt time.Time
 }
 
 // Dispatcher decides on the packets of one balancer. It is not safe for concurrent
@@ -81,6 +88,7 @@
 type Dispatcher struct {
 	routes     *routes.Set
 	dataCentre string
+	startedAt  time.Time
 	// removedAddresses holds the addresses that had a route in an earlier
 	// configuration and have none now.
 	removedAddresses map[netip.AddrPort]bool
@@ -115,18 +123,22 @@
 	balancerCount int
 }
 
-// New returns a dispatcher without routes and agents. It fails if c.MaxFlows is
-// negative.
+// New returns a dispatcher without routes and agents. It fails if c.MaxFlows or
+// c.LookupsPerSecond is negative.
 func New(c Config) (d *Dispatcher, err error) {
 	if c.MaxFlows < 0 {
 		return nil, errors.Errorf("dispatcher: MaxFlows is %d; it must not be negative", c.MaxFlows)
 	}
+	if c.LookupsPerSecond < 0 {
+		return nil, errors.Errorf("dispatcher: LookupsPerSecond is %d; it must not be negative", c.LookupsPerSecond)
+	}
 	if c.MaxFlows == 0 {
 		c.MaxFlows = 100_000
 	}
 	return &Dispatcher{
-		dataCentre: c.DataCentre, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
+		dataCentre: c.DataCentre, startedAt: c.StartedAt, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32]*service), flows: newFlowTable(c.MaxFlows),
+		lookups:    lookupRound{perSecond: float64(c.LookupsPerSecond)},
 		coldBounds: c.ColdBounds,
 	}, nil
 }
@@ -144,6 +156,9 @@
 	for address := range set.Addresses() {
 		delete(d.removedAddresses, address)
 	}
+	if d.routes == nil {
+		d.resumeSearches()
+	}
 	d.routes = set
 	return true
 }
@@ -174,22 +189,26 @@
 }
 
 // handleFirstPacket decides on the first packet of a flow or a retransmission of it.
-// e is the entry of the flow key, or nil. The review in offer gives a new flow its service.
+// e is the entry of the flow key, or nil. A flow without a configuration is queued. The
+// review before the first offer gives a new flow its service.
 func (d *Dispatcher) handleFirstPacket(now time.Time, key flow.Key, e *flowEntry, s *packet.Segment) (decisions []Decision) {
 	if e != nil && e.firstKnown && e.firstSequence == s.Sequence {
 		return d.handleRetransmission(now, e, s)
 	}
 	route := d.routes.Route(s.Destination)
-	if route == nil {
-		if d.routes == nil {
-			return []Decision{Drop{Flow: key, Reason: ReasonStarting}}
-		}
+	if route == nil && d.routes != nil {
 		return []Decision{Reset{Flow: key, Reason: ReasonNoRoute}}
 	}
 	e = &flowEntry{key: key, phase: phaseOpening, firstSequence: s.Sequence, firstKnown: true}
 	// Callers number the retransmissions of a first packet in its acknowledgement field.
 	e.firstSentAt = now.Add(-retransmissionDelays[min(s.Acknowledgement, lastRetransmission)])
+	if d.routes == nil && len(d.queue.waiting) >= maxQueuedFlows {
+		return []Decision{Drop{Flow: key, Reason: ReasonStarting}}
+	}
 	d.flows.put(now, e)
+	if d.routes == nil {
+		return d.enqueue(now, e, s.Data)
+	}
 	return d.offer(now, e, s.Data, StepOffer)
 }
 
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -13,12 +13,19 @@
 	// lookupInterval is the shortest time between two rounds of lookups. Flows whose
 	// searches begin in between share the datagrams of the next round.
 	lookupInterval = 10 * time.Millisecond
+	// lookupBurst is the time whose lookups may be sent at once, in seconds: a single
+	// search asks all agents without delay in fleets that suit the balancer.
+	lookupBurst = 0.25
 	// maxLookupFlows bounds the flows in one lookup, which is sent as one datagram. A
 	// flow takes 24 bytes.
 	maxLookupFlows = 50
 	// probePackets is how many packets a probe sends. It takes two because hosts
 	// acknowledge every second packet.
 	probePackets = 2
+	// maxSearchTime bounds how long a balancer that has just started searches for a flow,
+	// from the first packet of the search on. Callers send at least two copies of a packet
+	// within this time.
+	maxSearchTime = 1200 * time.Millisecond
 )
 
 // searchScope is the set of agents that a search asks together in a round of
@@ -32,6 +39,8 @@
 	// scopeOthers contains all other agents, because flows stay at their host when a
 	// configuration changes their route.
 	scopeOthers
+	// scopeAll contains all agents.
+	scopeAll
 )
 
 // lookupRound holds the flows for the next round of lookups.
@@ -40,12 +49,28 @@
 	waiting []*flowEntry
 	// nextAt is the earliest time of the next round.
 	nextAt time.Time
+	// perSecond is Config.LookupsPerSecond. allowance is the number of lookups that may be
+	// sent without delay, as of lastAt; a round may overdraw it, which delays the next one.
+	perSecond, allowance float64
+	lastAt               time.Time
+}
+
+// schedule sets the earliest time of the next round after one that sends a number of
+// lookups.
+func (r *lookupRound) schedule(now time.Time, lookups int) {
+	delay := lookupInterval
+	if r.perSecond > 0 {
+		r.allowance = min(r.allowance+now.Sub(r.lastAt).Seconds()*r.perSecond, lookupBurst*r.perSecond) - float64(lookups)
+		r.lastAt = now
+		delay = max(delay, time.Duration(-r.allowance/r.perSecond*float64(time.Second)))
+	}
+	r.nextAt = now.Add(delay)
 }
 
 // startSearch begins a search for the host that holds a flow and buffers the packet.
 func (d *Dispatcher) startSearch(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
 	e.phase, e.scope, e.acknowledgement = phaseSearching, scopeRoute, s.Acknowledgement
-	e.owner = netip.Addr{}
+	e.owner, e.resumes, e.searchUntil = netip.Addr{}, false, now.Add(maxSearchTime)
 	e.triedAgents, e.returnedOffers, e.unsureAgents, e.unseen, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil, nil
 	d.flows.bufferPacket(e, s.Data)
 	return d.queueLookup(now, e)
@@ -70,7 +95,7 @@
 	tags := d.routeServiceTags(e)
 	for _, a := range d.agentList {
 		servesRoute := a.statusKnown && slices.Contains(tags, a.serviceTag)
-		if servesRoute == (e.scope == scopeRoute) && !slices.Contains(e.deniedBy, a) {
+		if (e.scope == scopeAll || servesRoute == (e.scope == scopeRoute)) && !slices.Contains(e.deniedBy, a) {
 			agents = append(agents, a)
 		}
 	}
@@ -153,6 +178,11 @@
 	if d.heldNowhere(now, e) {
 		return d.reset(e, e.acknowledgement, ReasonHeldNowhere)
 	}
+	if d.mayFindLater(now, e) {
+		e.probing, e.resumes = false, true
+		d.setDeadline(e, now.Add(searchRetryDelay))
+		return nil
+	}
 	buffered := d.flows.takeBuffered(e)
 	e.phase, e.probing, e.deadline, e.retryAt = phaseNotFound, false, time.Time{}, now.Add(searchRetryDelay)
 	if e.onlyCandidate = d.onlyCandidate(now, e); e.onlyCandidate == nil {
@@ -161,6 +191,29 @@
 	return d.forward(e, e.onlyCandidate.address, StepSearch, buffered[e.probesSentTo(e.onlyCandidate.address):]...)
 }
 
+// mayFindLater reports whether a search that has found no owner is to be continued
+// because the balancer has just started: agents that were not asked may hold the flow, or
+// it becomes clear that none does.
+func (d *Dispatcher) mayFindLater(now time.Time, e *flowEntry) bool {
+	return d.isStarting(now) && now.Before(e.searchUntil) && d.onlyCandidate(now, e) == nil
+}
+
+// resumeSearch asks the agents that have not denied the flow once more.
+func (d *Dispatcher) resumeSearch(now time.Time, e *flowEntry) (decisions []Decision) {
+	e.resumes, e.scope = false, scopeRoute
+	return d.queueLookup(now, e)
+}
+
+// resumeSearches makes the next Tick continue the searches that wait to ask again.
+func (d *Dispatcher) resumeSearches() {
+	for _, e := range d.deadlines {
+		if e.resumes && !e.deadline.IsZero() {
+			e.deadline = e.lastUsed
+			d.wakeBy(e.deadline)
+		}
+	}
+}
+
 // nextProbe returns the next agent to probe, or nil. Agents early in the rendezvous
 // order of the flow come first, because the host that the flow was placed at is
 // among them.
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -10,6 +10,7 @@
 
 	"agateramp/internal/core/flow"
 	"agateramp/internal/segment/packet"
+	"agateramp/internal/segment/routes"
 )
 
 // lookupAgents returns the agents that the decisions ask for a flow.
@@ -402,3 +403,66 @@
 	}
 	b.is.Equal(decisions[len(decisions)-1], Reset{Flow: s.KeyFromCaller(), Sequence: 6000, Reason: ReasonHeldNowhere})
 }
+
+// Guards against lookups that take all processor time of a small balancer while many flows
+// are searched for, and against a delay of single searches.
+func TestLookupRate(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		perSecond, searches int
+		// maxLookups bounds the lookups to four agents within a second.
+		minLookups, maxLookups int
+	}{
+		{"unbounded", 0, 1000, 350, 400},
+		{"many searches", 100, 1000, 100, 130},
+		{"few searches", 100, 5, 20, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer(t)
+			b.Dispatcher.lookups.perSecond = float64(c.perSecond)
+			lookups, longest := 0, time.Duration(0)
+			for i := range 1000 {
+				if i%(1000/c.searches) == 0 {
+					s := segment(packet.ACK, 101, 6000)
+					s.Source = netip.AddrPortFrom(caller.Addr(), uint16(i+1))
+					lookups += len(b.lookups(b.HandlePacket(b.now, s)))
+				}
+				if at, pending := b.NextTick(); pending {
+					longest = max(longest, at.Sub(b.now))
+				}
+				lookups += len(b.lookups(b.Tick(b.now)))
+				b.advance(time.Millisecond)
+			}
+			b.is.True(lookups >= c.minLookups)
+			b.is.True(lookups <= c.maxLookups)
+			b.is.True(longest <= 50*time.Millisecond)
+		})
+	}
+}
+
+// Guards against lost flows that wait for two rounds of lookups after a loss of power.
+func TestLostFlowsTakeOneRound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cold  time.Duration
+		later time.Duration
+		// first is the number of agents that are asked in the first round.
+		first int
+	}{
+		{"all hosts have just started", time.Second, 0, 4},
+		{"all hosts had just started, flows of before may come", time.Second, routes.DefaultIdleTimeout - time.Second, 4},
+		{"flows of before are idle for too long", time.Second, routes.DefaultIdleTimeout, 3},
+		{"hosts ran before", 0, 0, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newStartingBalancer(t)
+			b.SetRoutes(routeSet(t, 1, studioAddr, otherAddr))
+			b.SetListedAgents(b.now, []netip.Addr{host(0), host(1), host(2), host(3)})
+			for i, service := range []string{"studio", "studio", "studio", "archive"} {
+				b.HandleStatus(b.now, host(i), Status{Service: service, State: packet.HostReady, ColdRemaining: c.cold})
+			}
+			b.advance(c.later)
+			b.is.Equal(len(b.lookups(b.HandlePacket(b.now, segment(packet.ACK, 101, 6000)))), c.first)
+		})
+	}
+}
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -10,22 +10,26 @@
 
 const (
 	// fullBackoff is how long a host that has returned a first packet as busy is
-	// offered no other one, unless a message from its agent arrives earlier. Queued
-	// flows are offered to hosts at the same interval, and earlier after a host has
-	// answered a first packet.
+	// offered no other one, unless it accepts a flow earlier. Queued flows are offered
+	// to hosts at the same interval, and earlier after a host has answered a first
+	// packet.
 	fullBackoff = 20 * time.Millisecond
+	// maxBackoffDoublings bounds how often fullBackoff is doubled. A full host has
+	// requests for about 50 ms of work queued.
+	maxBackoffDoublings = 2
 	// maxQueueTime bounds how long a first packet waits for a host with room. Callers
 	// give up 1.4 s after their first packet.
 	maxQueueTime = 1200 * time.Millisecond
 	// maxNoHostTime bounds how long a first packet waits while no host of the service
-	// accepts flows. Processes that restart are back within this time, and callers
+	// accepts flows, once all agents have sent their status. Processes that restart are back within this time, and callers
 	// send no retransmission after it.
 	maxNoHostTime = 600 * time.Millisecond
 	// maxQueuedFlows bounds the number of queued flows.
 	maxQueuedFlows = 2048
 )
 
-// queue holds the flows whose first packet waits for a host with room. Flows that
+// queue holds the flows whose first packet waits for a host with room, or for the first
+// configuration. Flows that
 // can still meet their latency objective go first, then those of higher priority,
 // then the newest: first in, first out would make all of them late.
 type queue struct {
@@ -53,7 +57,16 @@
 	if anyEligible {
 		return age < maxQueueTime && anyLeft
 	}
-	return age < maxNoHostTime && (len(e.triedAgents) == 0 || d.mayLackHosts(now))
+	return age < d.noHostTime(now) && (len(e.triedAgents) == 0 || d.mayLackHosts(now))
+}
+
+// noHostTime returns how long a first packet waits while no host of the service accepts
+// flows. A balancer that has just started does not know the hosts yet.
+func (d *Dispatcher) noHostTime(now time.Time) time.Duration {
+	if d.routes == nil || len(d.agentList) == 0 || d.mayLackHosts(now) {
+		return maxQueueTime
+	}
+	return maxNoHostTime
 }
 
 // enqueue adds a flow to the queue with a copy of its first packet.
@@ -160,7 +173,10 @@
 		if capacities[e.serviceTag] != nil {
 			continue
 		}
-		c := &serviceCapacity{expiredBefore: now.Add(-maxNoHostTime), resetReason: ReasonNoHost, full: true, fullForLate: true}
+		c := &serviceCapacity{expiredBefore: now.Add(-d.noHostTime(now)), resetReason: ReasonNoHost, full: true, fullForLate: true}
+		if d.routes == nil {
+			c.resetReason = ReasonStarting
+		}
 		for _, a := range d.serviceAgents(e.serviceTag) {
 			if !d.eligible(now, a) {
 				continue
@@ -209,15 +225,34 @@
 	return now.Before(a.fullUntil) || late && now.Before(a.fullForLateUntil)
 }
 
-// markFull records for fullBackoff that the host has no room for a flow. If the flow
-// is late, the host counts as full only for late flows.
-func (a *agent) markFull(now time.Time, late bool) {
-	a.fullForLateUntil = now.Add(fullBackoff)
+// markFull records for fullBackoff that the host has no room for a flow. If the flow is
+// late, the host counts as full only for late flows.
+func (a *agent) markFull(now time.Time, late bool) { a.markFullUntil(now.Add(fullBackoff), late) }
+
+// markFullUntil does the same until a given time.
+func (a *agent) markFullUntil(until time.Time, late bool) {
+	a.fullForLateUntil = until
 	if !late {
-		a.fullUntil = a.fullForLateUntil
+		a.fullUntil = until
 	}
 }
 
+// recordBusy records that the host has returned a first packet as busy. If it does so
+// again after the time without offers, that time doubles: when many balancers have flows
+// queued for a host, almost all their offers would be returned.
+func (a *agent) recordBusy(now time.Time, late bool) {
+	if !now.Before(a.busyUntil) {
+		a.busyReturns++
+	}
+	a.busyUntil = now.Add(fullBackoff << min(a.busyReturns-1, maxBackoffDoublings))
+	a.markFullUntil(a.busyUntil, late)
+}
+
+// recordRoom records that the host has accepted a flow. It may have room for another one.
+func (a *agent) recordRoom() {
+	a.busyReturns, a.busyUntil, a.fullUntil, a.fullForLateUntil = 0, time.Time{}, time.Time{}, time.Time{}
+}
+
 // Busy reports whether a first packet is queued or offered to a host that has not
 // answered, or a flow is searched for.
 func (d *Dispatcher) Busy() bool {
--- a/internal/segment/dispatch/start.go
+++ b/internal/segment/dispatch/start.go
@@ -41,7 +41,7 @@
 	case d.start == startAmongOthers:
 	case slices.ContainsFunc(d.agentList, (*agent).ranBefore), d.start == startPending && (established || !starting):
 		d.forgetSeenAll()
-	case starting && (d.start == startAnew || d.mostHostsStarted()):
+	case starting && d.HostsJustStarted():
 		d.start = startAnew
 		for _, a := range d.agentList {
 			if a.startSeen && a.seenAllRun == 0 {
@@ -62,35 +62,7 @@
 // ranBefore reports whether the host of an agent had not just started when the agent
 // first reported it.
 func (a *agent) ranBefore() bool {
-	return a.statusKnown && !a.startSeen && a.status.State != packet.HostGone
-}
-
-// mostHostsStarted reports whether the hosts of more than half of the known agents had
-// just started when their agents first reported them.
-func (d *Dispatcher) mostHostsStarted() bool {
-	started := 0
-	for _, a := range d.agentList {
-		if a.startSeen {
-			started++
-		}
-	}
-	return 2*started > len(d.agentList)
-}
-
-// HostsJustStarted reports whether the hosts of all known agents had just started when
-// their agents first reported them, except for those that are gone. Right after the start
-// of a balancer, no host holds a flow from before then.
-func (d *Dispatcher) HostsJustStarted() bool {
-	anyStarted := false
-	for _, a := range d.agentList {
-		switch {
-		case a.statusKnown && a.startSeen:
-			anyStarted = true
-		case !a.statusKnown || a.status.State != packet.HostGone:
-			return false
-		}
-	}
-	return anyStarted
+	return a.statusKnown && !a.startSeen && a.status.State != packet.HostGone && a.status.State != packet.HostUnknown
 }
 
 // judgeUnseen turns the answers of agents that have not seen a flow into denials, if
