--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -58,7 +58,7 @@
 	case message.Digest:
 		b.handleDigest(now, from, m)
 	case message.Located:
-		b.execute(now, b.core.HandleLocated(now, from, m.Held, m.Denied, m.Unsure, m.Load))
+		b.execute(now, b.core.HandleLocated(now, from, dispatch.Located{Held: m.Held, Denied: m.Denied, Unsure: m.Unsure, Unseen: m.Unseen, Run: m.Run, Load: m.Load}))
 		b.wakeTimer()
 	case message.Hello, message.Lookup:
 		// These are requests to agents; a balancer ignores them.
@@ -69,14 +69,14 @@
 // configuration, handleStatus requests the view of the balancer that has it. b.mu must be held.
 func (b *Balancer) handleStatus(now time.Time, from netip.Addr, m message.Status) {
 	changed := b.core.HandleStatus(now, from, dispatch.Status{
-		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: m.State, Load: m.Load, ColdRemaining: m.ColdRemaining, Stopping: m.Stopping,
+		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: m.State, Load: m.Load, ColdRemaining: m.ColdRemaining, Stopping: m.Stopping, Run: m.Run,
 	})
 	if changed {
 		logging.Line(level.Info(b.config.Logger), "event", "host_changed", "agent", from, "node", m.Node, "service", m.Service,
 			"state", m.State, "agent_stopping", m.Stopping)
 	}
 	if b.isStarting(now) {
-		b.core.SetAgentListComplete(b.agentsComplete(now))
+		b.updateListComplete(now)
 	}
 	b.exchangeEvacuations(now, from, m.Evacuations)
 	for _, address := range m.Balancers {
@@ -97,7 +97,7 @@
 		b.requestView(from)
 	}
 	b.compareAgents(now, from, m)
-	b.core.SetAgentListComplete(b.agentsComplete(now))
+	b.updateListComplete(now)
 	if m.ListRevision.Number == 0 && b.list.revision.Number != 0 {
 		// The sender has just started and waits for what others know.
 		b.sendMessage(from, b.digest(now))
@@ -273,7 +273,8 @@
 
 // applyConfig puts a configuration in force if it is newer than the current one, and reports whether it did. The source
 // is named in the log. Without knowledge of the evacuations none is put in force, because new flows could then reach
-// hosts in an evacuated data centre.
+// hosts in an evacuated data centre. The first one is announced to the balancers that have none: after a loss of power most
+// of them wait for it.
 func (b *Balancer) applyConfig(raw []byte, source string) (applied bool) {
 	set, err := b.config.DecodeConfig(raw)
 	if err != nil {
@@ -283,6 +284,13 @@
 	b.mu.Lock()
 	previous := b.core.Routes().Version()
 	applied = (!b.usesEvacuations() || b.evacuations.State().Known()) && b.core.SetRoutes(set)
+	b.wakeTimer()
+	if applied && previous == 0 {
+		digest := b.digest(time.Now())
+		for _, address := range b.peers.WithoutConfig() {
+			b.sendMessage(address, digest)
+		}
+	}
 	b.mu.Unlock()
 	if applied {
 		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
--- a/internal/segment/dispatch/send.go
+++ b/internal/segment/dispatch/send.go
@@ -15,7 +15,8 @@
 
 // review checks a flow against the configuration in force, unless it was checked since
 // the configuration came into force. If the route of the flow was removed, review returns
-// the decision to reset the flow and removes the entry; otherwise it returns nil. The
+// the decision to reset the flow and removes the entry; otherwise it returns nil. The same
+// holds for a queued flow that has no route in the first configuration. The
 // acknowledgement is that of the packet at hand, or 0 if there is none. A flow that no
 // host has accepted gets the service, the priority and the latency objective that its
 // route has now, and offers to hosts of another service no longer count.
@@ -28,6 +29,10 @@
 	}
 	e.version = d.routes.Version()
 	route := d.routes.Route(e.key.Destination())
+	if route == nil && e.phase == phaseQueued {
+		// The flow was queued before the first configuration came into force.
+		return d.reset(e, 0, ReasonNoRoute)
+	}
 	if route == nil || !e.firstKnown {
 		return nil
 	}
@@ -88,6 +93,13 @@
 	return []Decision{Reset{Flow: e.key, Sequence: sequence, Reason: reason}}
 }
 
+// mostFlowsLost reports whether most unknown flows are held nowhere, so that all agents
+// have to be asked anyway: all hosts had just started when the balancer started, and
+// callers may still use flows from before.
+func (d *Dispatcher) mostFlowsLost(now time.Time) bool {
+	return !d.startedAt.IsZero() && now.Sub(d.startedAt) < d.routes.IdleTimeout() && d.HostsJustStarted()
+}
+
 // startRound returns the lookups for the flows that wait for a round, with the flows
 // for each agent in as few lookups as possible.
 func (d *Dispatcher) startRound(now time.Time) (decisions []Decision) {
@@ -96,8 +108,8 @@
 	if len(waiting) == 0 {
 		return nil
 	}
-	d.lookups.nextAt = now.Add(lookupInterval)
 	flowsByAgent := make(map[*agent][]*flowEntry)
+	askAll := d.mostFlowsLost(now)
 	for _, e := range waiting {
 		if e.phase != phaseSearching || e.probing || d.flows.byKey[e.key] != e {
 			continue
@@ -106,6 +118,9 @@
 			decisions = append(decisions, reset...)
 			continue
 		}
+		if askAll {
+			e.scope = scopeAll
+		}
 		agents := d.candidates(now, e)
 		if len(agents) == 0 && e.scope == scopeRoute {
 			e.scope = scopeOthers
@@ -124,6 +139,7 @@
 		d.setDeadline(e, now.Add(searchTimeout))
 		decisions = append(decisions, Search{Flow: e.key, Agents: len(agents)})
 	}
+	lookups := 0
 	for _, a := range d.agentList {
 		for entries := range slices.Chunk(flowsByAgent[a], maxLookupFlows) {
 			l := Lookup{Agent: a.address}
@@ -131,7 +147,9 @@
 				l.Flows, l.Acknowledgements = append(l.Flows, e.key), append(l.Acknowledgements, e.acknowledgement)
 			}
 			decisions = append(decisions, l)
+			lookups++
 		}
 	}
+	d.lookups.schedule(now, lookups)
 	return decisions
 }
