packet: Mark packets that another balancer relays

The label gets a mark and the agent that holds the flow, for packets that one balancer sends to another.

--- a/internal/segment/packet/packet.go
+++ b/internal/segment/packet/packet.go
@@ -79,7 +79,8 @@
 	return distance > -maxSequenceDistance && distance < maxSequenceDistance
 }
 
-// Label is the metadata that a balancer adds to a packet for the receiving agent.
+// Label is the metadata that a balancer adds to a packet for the receiving agent, or for
+// another balancer that relays it.
 type Label struct {
 	// ServiceTag is the tag of the service that the packet is for, as returned by the
 	// function ServiceTag.
@@ -91,6 +92,12 @@
 	Late bool
 	// Class describes the requests of the flow.
 	Class RequestClass
+	// Relayed marks a packet for another balancer in place of an agent. Of the other
+	// fields, only Holder counts.
+	Relayed bool
+	// Holder is the agent whose host holds the flow, an IPv4 address, or the zero Addr if
+	// the holder is not known. It is set only if Relayed is.
+	Holder netip.Addr
 }
 
 // RequestClass describes the requests of a route, as the balancer's configuration has it.
