message: Report reached data centres in digests

A balancer that relays packets of others has to be known by its data centre and by those whose agents answer it. Both fields are empty where relaying is off and in digests of earlier versions, so that such balancers are not chosen. TestEncodeDecode covers them.

--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -106,6 +106,10 @@
 	CPUPermille int
 	// Starting is set shortly after the sender's start, while agents that run may not have reported to it yet.
 	Starting bool
+	// DataCentre is the data centre of the sender, and ReachedDataCentres are those whose agents answer it. They are empty
+	// if the sender relays no packets of other balancers.
+	DataCentre         string
+	ReachedDataCentres []string
 }
 
 // UnknownAge is the age of data from a source that does not respond.
@@ -210,7 +214,7 @@
 	return &datapathpb.Digest{
 		ConfigVersion: m.ConfigVersion, Agents: m.Agents, ListRevision: uint64(m.ListRevision.Number), ListGeneration: m.ListRevision.Generation, ListComplete: m.ListComplete,
 		Watching: m.Watching, StoreAgeMs: uint32(min(m.StoreAge, UnknownAge).Milliseconds()), CpuPermille: uint32(m.CPUPermille),
-		Starting: m.Starting,
+		Starting: m.Starting, DataCentre: m.DataCentre, ReachedDataCentres: m.ReachedDataCentres,
 	}
 }
 
@@ -219,7 +223,7 @@
 		ConfigVersion: pb.GetConfigVersion(), Agents: pb.GetAgents(), ListComplete: pb.GetListComplete(),
 		ListRevision: store.Revision{Generation: pb.GetListGeneration(), Number: int64(pb.GetListRevision())},
 		Watching:     pb.GetWatching(), StoreAge: time.Duration(pb.GetStoreAgeMs()) * time.Millisecond, CPUPermille: int(pb.GetCpuPermille()),
-		Starting: pb.GetStarting(),
+		Starting: pb.GetStarting(), DataCentre: pb.GetDataCentre(), ReachedDataCentres: pb.GetReachedDataCentres(),
 	}
 }
 
--- a/internal/segment/message/message_test.go
+++ b/internal/segment/message/message_test.go
@@ -28,6 +28,7 @@
 		Digest{ConfigVersion: 3, Agents: 1 << 63},
 		Digest{ListRevision: store.Revision{Generation: 3, Number: 1 << 40}, ListComplete: true, Watching: true, StoreAge: 250 * time.Millisecond, CPUPermille: 88},
 		Digest{Watching: true, StoreAge: UnknownAge, Starting: true},
+		Digest{DataCentre: "north", ReachedDataCentres: []string{"north", "south"}},
 		Lookup{Flows: []flow.Key{key, other}},
 		Lookup{Flows: []flow.Key{key, other}, Acknowledgements: []uint32{0, 1 << 31}},
 		Located{Held: []flow.Key{key}, Denied: []flow.Key{other, key}, Unsure: []flow.Key{other}, Load: load},
