dispatch: Relay packets of flows behind a cut

Packets of open flows whose host is in a data centre that is cut off were sent there and lost, and those of unknown flows were dropped as not_found while agents there could not be asked. Both now go to a balancer that reaches the data centre, chosen by rendezvous hashing of the flow. The relaying balancer shows a packet to the agent that the first one names, then searches as usual; it never relays it again. Opening packets avoid hosts behind a cut.

TestSendsAreMadeInOnePlace now covers Relay, too.

--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -82,7 +83,7 @@
 // eligible reports whether the host may be offered new flows.
 func (d *Dispatcher) eligible(now time.Time, a *agent) bool {
 	return a.statusKnown && a.status.State == packet.HostReady && !a.status.Stopping &&
-		!d.silent(now, a) && a.unansweredOffers < maxUnansweredOffers
+		!d.unreachable(now, a) && a.unansweredOffers < maxUnansweredOffers
 }
 
 // joining reports whether other balancers may not know the agent yet. Agents that a
@@ -97,6 +98,11 @@
 	return float64(now.Sub(a.lastMessageAt)) > silentIntervals*float64(d.StatusInterval())
 }
 
+// unreachable reports whether the agent is silent or its data centre is cut off.
+func (d *Dispatcher) unreachable(now time.Time, a *agent) bool {
+	return d.silent(now, a) || d.paths.IsCutOff(a.status.DataCentre)
+}
+
 // StatusInterval returns the interval at which each agent is to be asked for its
 // status.
 func (d *Dispatcher) StatusInterval() time.Duration {
@@ -138,10 +144,15 @@
 		a = &agent{address: address, addressHash: xxhash.Sum64(octets[:]), addedAt: now}
 		d.agents[address] = a
 		d.agentList = append(d.agentList, a)
+		i, _ := slices.BinarySearchFunc(d.pollOrder, a, compareHash)
+		d.pollOrder = slices.Insert(d.pollOrder, i, a)
 	}
 	return a
 }
 
+// compareHash orders agents by the hashes of their addresses.
+func compareHash(a, b *agent) int { return cmp.Compare(a.addressHash, b.addressHash) }
+
 // prune removes the agents that the store does not list and that have sent no
 // message for a while.
 func (d *Dispatcher) prune(now time.Time) {
@@ -157,6 +168,7 @@
 		delete(d.agents, a.address)
 		return true
 	})
+	d.pollOrder = slices.DeleteFunc(d.pollOrder, func(a *agent) bool { return d.agents[a.address] != a })
 }
 
 // HandleStatus records the status of an agent and adds the agent if it is unknown.
@@ -177,6 +189,7 @@
 	a.coldUntil = now.Add(s.ColdRemaining)
 	a.startSeen = a.startSeen || s.ColdRemaining > 0
 	a.offersSinceReport, a.unansweredOffers = 0, 0
+	d.paths.RecordMessage(now, s.DataCentre)
 	return changed
 }
 
@@ -201,6 +214,13 @@
 	return s.agents
 }
 
+// RecordRequest records that an agent was asked for its status.
+func (d *Dispatcher) RecordRequest(now time.Time, address netip.Addr) {
+	if a := d.agents[address]; a != nil {
+		d.paths.RecordRequest(now, a.status.DataCentre)
+	}
+}
+
 // recordMessage records that an agent has sent a message, and the load in the message
 // unless its number of slots is 0. The host then no longer counts as full.
 // recordMessage returns the agent, or nil if the agent is unknown.
@@ -210,16 +230,17 @@
 		return nil
 	}
 	a.lastMessageAt, a.unansweredOffers, a.fullUntil, a.fullForLateUntil = now, 0, time.Time{}, time.Time{}
+	d.paths.RecordMessage(now, a.status.DataCentre)
 	if l.Slots > 0 {
 		a.status.Load, a.offersSinceReport = l, 0
 	}
 	return a
 }
 
-// Agents returns the addresses of the known agents in the order in which they were
-// added.
+// Agents returns the addresses of the known agents in the order of their hashes, so that
+// each part of them is spread over the data centres.
 func (d *Dispatcher) Agents() (addresses []netip.Addr) {
-	for _, a := range d.agentList {
+	for _, a := range d.pollOrder {
 		addresses = append(addresses, a.address)
 	}
 	return addresses
--- a/internal/segment/dispatch/decision.go
+++ b/internal/segment/dispatch/decision.go
@@ -71,12 +71,15 @@
 	ReasonNoStatus Reason = "no_status"
 	// ReasonStarting means that the balancer has started and has no configuration yet.
 	ReasonStarting Reason = "starting"
+	// ReasonRelayedOpening means that another balancer relayed a first packet, which only
+	// the balancer that received it from the caller may offer to hosts.
+	ReasonRelayedOpening Reason = "relayed_opening"
 	// ReasonForgotten means that an agent returned a packet of a flow, or of an offer,
 	// that is no longer remembered.
 	ReasonForgotten Reason = "forgotten"
 )
 
-// Decision is an action for the balancer to carry out: a Forward, Reset, Drop,
+// Decision is an action for the balancer to carry out: a Forward, Relay, Reset, Drop,
 // Search or Lookup.
 type Decision interface{ decision() }
 
@@ -96,6 +99,17 @@
 	Data []byte
 }
 
+// Relay sends a packet to another balancer, because this one does not reach the data
+// centre of the flow's host.
+type Relay struct {
+	Flow     flow.Key
+	Balancer netip.Addr
+	// Holder is the agent whose host holds the flow, or the zero Addr if it is not known.
+	Holder netip.Addr
+	// Data is the packet.
+	Data []byte
+}
+
 // Reset ends a flow at its caller. Hosts are not notified.
 type Reset struct {
 	Flow flow.Key
@@ -128,6 +142,7 @@
 }
 
 func (Forward) decision() {}
+func (Relay) decision()   {}
 func (Reset) decision()   {}
 func (Drop) decision()    {}
 func (Search) decision()  {}
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 
 	"agateramp/internal/core/flow"
 	"agateramp/internal/segment/packet"
+	"agateramp/internal/segment/paths"
 	"agateramp/internal/segment/routes"
 )
 
@@ -70,6 +71,9 @@
 	// unless one elsewhere is expected to answer clearly sooner. If empty, the data
 	// centres of hosts are ignored.
 	DataCentre string
+	// Paths holds the data centres that the balancer reaches. The dispatcher records the
+	// messages of agents in it. If nil, no packet is relayed by another balancer.
+	Paths *paths.Set
 }
 
 // Dispatcher decides on the packets of one balancer. It is not safe for concurrent
@@ -77,12 +81,14 @@
 type Dispatcher struct {
 	routes     *routes.Set
 	dataCentre string
+	paths      *paths.Set
 	// removedAddresses holds the addresses that had a route in an earlier
 	// configuration and have none now.
 	removedAddresses map[netip.AddrPort]bool
 	agents           map[netip.Addr]*agent
-	// agentList holds the agents in the order in which they were added.
-	agentList []*agent
+	// agentList holds the agents in the order in which they were added, and pollOrder in the
+	// order of the hashes of their addresses.
+	agentList, pollOrder []*agent
 	// services holds the agents with a known status, by the tag of their service, as
 	// returned by packet.ServiceTag.
 	services map[uint32]*service
@@ -113,7 +119,7 @@
 		c.MaxFlows = 100_000
 	}
 	return &Dispatcher{
-		dataCentre: c.DataCentre, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
+		dataCentre: c.DataCentre, paths: c.Paths, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32]*service), flows: newFlowTable(c.MaxFlows),
 	}, nil
 }
@@ -157,6 +163,8 @@
 		d.flows.put(now, e)
 		return d.startSearch(now, e, s)
 	}
+	// Buffered packets may be of the balancer that relayed packets before.
+	e.relayed = e.relayed && len(e.buffered) > 0
 	return d.handleLaterPacket(now, e, s)
 }
 
@@ -263,6 +271,9 @@
 		if e.onlyCandidate != nil {
 			return d.forward(e, e.onlyCandidate.address, StepSearch, s.Data)
 		}
+		if relayed := d.relayUnknown(e, s.Data); relayed != nil {
+			return relayed
+		}
 		if now.Before(e.retryAt) {
 			return []Decision{Drop{Flow: e.key, Reason: ReasonNotFound}}
 		}
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -81,6 +81,9 @@
 	probing       bool
 	probesSent    []int
 	onlyCandidate *agent
+	// relayed is set if the last packets came from another balancer. They are not
+	// relayed again.
+	relayed bool
 	// buffered are copies of the packets that arrived during a search.
 	buffered [][]byte
 	// acknowledgement is the caller's last acknowledgement, or 0 if none is known. A reset
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -27,8 +27,11 @@
 type searchScope uint8
 
 const (
+	// scopeHolder contains the agent that another balancer named as the holder of a flow
+	// whose packets it relayed. It is probed without a lookup.
+	scopeHolder searchScope = iota
 	// scopeRoute contains the agents of the services that the flow's route names.
-	scopeRoute searchScope = iota
+	scopeRoute
 	// scopeOthers contains all other agents, because flows stay at their host when a
 	// configuration changes their route.
 	scopeOthers
@@ -44,11 +47,16 @@
 
 // startSearch begins a search for the host that holds a flow and buffers the packet.
 func (d *Dispatcher) startSearch(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
-	e.phase, e.scope, e.acknowledgement = phaseSearching, scopeRoute, s.Acknowledgement
-	e.owner = netip.Addr{}
+	d.beginSearch(e, s, scopeRoute)
+	return d.queueLookup(now, e)
+}
+
+// beginSearch puts a flow into phaseSearching and buffers the packet.
+func (d *Dispatcher) beginSearch(e *flowEntry, s *packet.Segment, scope searchScope) {
+	e.phase, e.scope, e.acknowledgement = phaseSearching, scope, s.Acknowledgement
+	e.owner, e.awaitedAgents = netip.Addr{}, nil
 	e.triedAgents, e.returnedOffers, e.unsureAgents, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil
 	d.flows.bufferPacket(e, s.Data)
-	return d.queueLookup(now, e)
 }
 
 // queueLookup adds a flow to the next round of lookups, and starts the round if it
@@ -133,8 +141,8 @@
 	if a := d.nextProbe(now, e); a != nil {
 		return d.probe(now, e, a)
 	}
-	if e.scope == scopeRoute {
-		e.scope = scopeOthers
+	if e.scope != scopeOthers {
+		e.scope++
 		return d.queueLookup(now, e)
 	}
 	if d.heldNowhere(now, e) {
@@ -143,6 +151,9 @@
 	buffered := d.flows.takeBuffered(e)
 	e.phase, e.probing, e.deadline, e.retryAt = phaseNotFound, false, time.Time{}, now.Add(searchRetryDelay)
 	if e.onlyCandidate = d.onlyCandidate(now, e); e.onlyCandidate == nil {
+		if relayed := d.relayUnknown(e, buffered...); relayed != nil {
+			return relayed
+		}
 		return []Decision{Drop{Flow: e.key, Reason: ReasonNotFound}}
 	}
 	return d.forward(e, e.onlyCandidate.address, StepSearch, buffered[e.probesSentTo(e.onlyCandidate.address):]...)
--- a/internal/segment/dispatch/send.go
+++ b/internal/segment/dispatch/send.go
@@ -9,9 +9,10 @@
 	"agateramp/internal/segment/packet"
 )
 
-// All that a balancer sends to agents for a flow is returned by forward and startRound,
-// the only functions that make a Forward or a Lookup. Both review the flow first, so that
-// no decision outlives the configuration that it was made under.
+// All that a balancer sends to agents for a flow, or to another balancer, is returned by
+// forward, relay and startRound, the only functions that make a Forward, a Relay or a
+// Lookup. They review the flow first, so that no decision outlives the configuration that
+// it was made under.
 
 // review checks a flow against the configuration in force, unless it was checked since
 // the configuration came into force. If the route of the flow was removed, review returns
@@ -68,6 +69,9 @@
 	}
 	f := Forward{Flow: e.key, Agent: agent, ServiceTag: e.serviceTag, Step: step, Late: e.late && step.isOffer()}
 	if a := d.agents[agent]; a != nil {
+		if relayed := d.relayToOwner(e, a, step, packets); relayed != nil {
+			return relayed
+		}
 		f.LastMessageAt = a.lastMessageAt
 		if !step.sendsFirstPacket() {
 			f.ServiceTag = a.serviceTag
@@ -81,6 +85,19 @@
 	return decisions
 }
 
+// relay returns the decisions to send packets of a flow to another balancer, which sends
+// them to the holder, or searches for the holder if it is the zero Addr.
+func (d *Dispatcher) relay(e *flowEntry, balancer, holder netip.Addr, packets ...[]byte) (decisions []Decision) {
+	if reset := d.review(e, 0); reset != nil {
+		return reset
+	}
+	decisions = make([]Decision, 0, len(packets))
+	for _, data := range packets {
+		decisions = append(decisions, Relay{Flow: e.key, Balancer: balancer, Holder: holder, Data: data})
+	}
+	return decisions
+}
+
 // reset returns the decision to reset a flow at its caller, and removes the entry of
 // the flow.
 func (d *Dispatcher) reset(e *flowEntry, sequence uint32, reason Reason) (decisions []Decision) {
@@ -120,7 +137,7 @@
 		}
 		// A silent agent is asked, but its reply is not awaited. If all agents are silent,
 		// the round ends at its deadline.
-		e.awaitedAgents = slices.DeleteFunc(agents, func(a *agent) bool { return d.silent(now, a) })
+		e.awaitedAgents = slices.DeleteFunc(agents, func(a *agent) bool { return d.unreachable(now, a) })
 		d.setDeadline(e, now.Add(searchTimeout))
 		decisions = append(decisions, Search{Flow: e.key, Agents: len(agents)})
 	}
--- a/internal/segment/dispatch/version_test.go
+++ b/internal/segment/dispatch/version_test.go
@@ -251,7 +251,7 @@
 	is := is.New(t)
 	files, err := filepath.Glob("*.go")
 	is.NoErr(err)
-	made := regexp.MustCompile(`\b(Forward|Lookup)\{`)
+	made := regexp.MustCompile(`\b(Forward|Lookup|Relay)\{`)
 	found := make(map[string]int)
 	for _, name := range files {
 		source, err := os.ReadFile(name)
@@ -261,5 +261,5 @@
 		}
 	}
 	maps.DeleteFunc(found, func(_ string, count int) bool { return count == 0 })
-	is.Equal(found, map[string]int{"send.go": 2})
+	is.Equal(found, map[string]int{"send.go": 3})
 }
