balancer: Relay packets between data centres

A balancer polls agents every 200 ms, in parts that are spread over the data centres, and so notices a cut 0.2 to 0.4 s after it begins. It reports what it reaches in its digest, and relays where the settings ask for the loss of a data centre to be borne and name three or more.

--- a/internal/cli/hosted/hosted.go
+++ b/internal/cli/hosted/hosted.go
@@ -247,6 +247,10 @@
 	flowMemoryDivisor = 4
 )
 
+// minDataCentresToRelay is the number of data centres from which two that cannot reach each
+// other may have a third that reaches both.
+const minDataCentresToRelay = 3
+
 // Run runs the balancer until SIGTERM or SIGINT arrives or a task fails. Balancer.Stop may
 // take two thirds of the stop timeout; the rest remains for the end of the other tasks.
 func (c *balancerCommand) Run(out *outputs) (err error) {
@@ -258,7 +262,8 @@
 	b, err := balancer.New(balancer.Config{
 		DataCentre: s.DataCentre, CPUPermille: s.CPUPermille, Address: s.Address, PacketPort: s.PacketAddress.Port(), PeerPort: s.PeerPort, Seeds: s.Seeds, Codec: platform.PacketCodec{},
 		Store: p.store, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
-		MaxFlows: int(s.MemoryBytes / flowMemoryDivisor / bytesPerFlow), StopTimeout: s.StopTimeout * 2 / 3,
+		RelayPackets: s.ToleratedDataCentres > 0 && s.DataCentres >= minDataCentresToRelay,
+		MaxFlows:     int(s.MemoryBytes / flowMemoryDivisor / bytesPerFlow), StopTimeout: s.StopTimeout * 2 / 3,
 		Logger: p.logger, Metrics: p.metrics, Group: p.tasks,
 	})
 	if err == nil {
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -23,6 +23,7 @@
 	"agateramp/internal/segment/dispatch"
 	"agateramp/internal/segment/message"
 	"agateramp/internal/segment/packet"
+	"agateramp/internal/segment/paths"
 	"agateramp/internal/segment/peers"
 	"agateramp/internal/segment/routes"
 	"agateramp/internal/segment/socket"
@@ -39,6 +40,10 @@
 	PeerPort uint16
 	// DataCentre is the data centre of the balancer. If empty, no host is preferred for being near.
 	DataCentre string
+	// RelayPackets makes the balancer send packets for a data centre that it does not reach through balancers in other
+	// data centres, and relay packets of other balancers. If false, such packets are sent directly and are lost. It has
+	// no effect if DataCentre is empty.
+	RelayPackets bool
 	// CPUPermille is the share of a processor core that the balancer may use, in thousandths. Balancers with more are
 	// preferred for watching the store. If zero, all others are preferred.
 	CPUPermille int
@@ -100,6 +105,10 @@
 	core *dispatch.Dispatcher
 	// peers are the other balancers.
 	peers *peers.Set
+	// paths are the data centres that are reached, or nil if packets are not relayed. loggedCutOff are those that were
+	// last logged as cut off.
+	paths        *paths.Set
+	loggedCutOff []string
 	// list is the store's list of agents.
 	list agentList
 	// watching is set while this balancer watches the store.
@@ -132,7 +141,11 @@
 	if err = c.validate(); err != nil {
 		return nil, err
 	}
-	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre})
+	reached, err := newPaths(c)
+	if err != nil {
+		return nil, err
+	}
+	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre, Paths: reached})
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +154,7 @@
 		return nil, err
 	}
 	b = &Balancer{
-		config: c, core: core, decisions: logging.NewDecisionLog(c.Logger), peers: others,
+		config: c, core: core, decisions: logging.NewDecisionLog(c.Logger), peers: others, paths: reached,
 		startedAt: time.Now(), timerWake: make(chan struct{}, 1), viewRequests: make(chan netip.Addr, 16), digestWake: make(chan struct{}, 1),
 	}
 	if b.packetSocket, err = socket.Listen(netip.AddrPortFrom(c.Address, c.PacketPort), c.Metrics); err != nil {
@@ -189,7 +202,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.lastPacketAt = now
-	b.execute(now, b.core.HandlePacket(now, &s))
+	if label := b.config.Codec.Label(data); label.Relayed {
+		b.config.Metrics.Counter("packets.received_relayed").Inc(1)
+		b.execute(now, b.core.HandleRelayed(now, &s, label.Holder))
+	} else {
+		b.execute(now, b.core.HandlePacket(now, &s))
+	}
 	b.wakeTimer()
 }
 
@@ -211,6 +229,11 @@
 				b.decisions.Log(now, "packet_"+string(d.Step), "", "flow", packet.FlowName(d.Flow), "agent", d.Agent, "late", d.Late,
 					"status_age_ms", now.Sub(d.LastMessageAt).Milliseconds(), "config_version", b.core.Routes().Version())
 			}
+		case dispatch.Relay:
+			b.config.Codec.SetLabel(d.Data, packet.Label{Relayed: true, Holder: d.Holder})
+			b.packetSocket.Send(netip.AddrPortFrom(d.Balancer, b.config.PacketPort), d.Data)
+			b.config.Metrics.Counter("packets.relayed").Inc(1)
+			b.decisions.Log(now, "packet_relayed", "", "flow", packet.FlowName(d.Flow), "balancer", d.Balancer, "holder", d.Holder)
 		case dispatch.Reset:
 			caller := netip.AddrPortFrom(d.Flow.Source().Addr(), b.config.PacketPort)
 			b.packetSocket.Send(caller, b.config.Codec.EncodeReset(d.Flow, d.Sequence))
@@ -287,6 +310,7 @@
 	m.Gauge("agents.list_revision").Update(b.list.revision.Number)
 	m.Gauge("store.generation").Update(int64(b.list.revision.Generation))
 	m.Gauge("store.watching").Update(boolGauge(b.watching))
+	m.Gauge("data_centres.cut_off").Update(int64(len(b.paths.CutOff())))
 	m.Gauge("config.version").Update(int64(b.core.Routes().Version()))
 	b.logReadiness(now, b.isReady(now))
 }
@@ -342,6 +366,7 @@
 	b.mu.Lock()
 	b.stopping = true
 	b.mu.Unlock()
+	b.wakeDigest()
 	logging.Line(level.Info(b.config.Logger), "event", "stopping")
 	defer b.refuseQueued()
 	deadline := started.Add(b.config.StopTimeout)
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -21,7 +21,10 @@
 	helloRetryInterval  = 50 * time.Millisecond
 	maxHelloRetryAgents = 32
 	// pollPartInterval is the interval between two parts of a poll, if the agents are polled in parts.
-	pollPartInterval = 400 * time.Millisecond
+	// relayPollPartInterval takes its place if packets are relayed: each part asks agents of all data centres, so that a
+	// cut is noticed sooner.
+	pollPartInterval      = 400 * time.Millisecond
+	relayPollPartInterval = 200 * time.Millisecond
 	// minCompareInterval is the least time between two reads of views because of different agent hashes.
 	minCompareInterval = 2 * time.Second
 )
@@ -89,6 +92,7 @@
 // held.
 func (b *Balancer) handleDigest(now time.Time, from netip.Addr, m message.Digest) {
 	b.peers.HandleDigest(now, from, m)
+	b.paths.HandleDigest(now, from, m.DataCentre, m.ReachedDataCentres, m.CPUPermille)
 	b.requestNewerView(from, m.ConfigVersion)
 	if _, reachable := b.storeAge(now); !reachable && m.ListRevision.Compare(b.list.revision) > 0 {
 		b.requestView(from)
@@ -175,11 +179,12 @@
 // pollNextAgents polls the next part of the agents for their status and returns the time until the part after it.
 func (b *Balancer) pollNextAgents() (wait time.Duration) {
 	b.mu.Lock()
-	interval := b.core.StatusInterval()
-	agents := b.takeNextAgents(b.core.Agents(), interval)
+	b.updatePaths(time.Now())
+	interval, partInterval := b.core.StatusInterval(), b.pollPartInterval()
+	agents := b.takeNextAgents(b.core.Agents(), interval, partInterval)
 	b.mu.Unlock()
 	b.sendHellos(agents)
-	return min(interval, pollPartInterval)
+	return min(interval, partInterval)
 }
 
 // pollAgentsWithoutStatus polls agents that have not answered yet. It reports whether there are any.
@@ -196,9 +201,11 @@
 	b.mu.Lock()
 	version := b.core.Routes().Version()
 	unlisted := make(map[netip.Addr]bool)
-	_, storeReachable := b.storeAge(time.Now())
+	now := time.Now()
+	_, storeReachable := b.storeAge(now)
 	for _, address := range agents {
 		unlisted[address] = storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(address)
+		b.core.RecordRequest(now, address)
 	}
 	b.mu.Unlock()
 	for _, address := range agents {
@@ -207,12 +214,12 @@
 }
 
 // takeNextAgents returns the agents that are polled now. If the interval at which each agent is polled is longer than
-// pollPartInterval, the agents are polled in parts, so that each part takes one pollPartInterval. b.mu must be held.
-func (b *Balancer) takeNextAgents(agents []netip.Addr, interval time.Duration) []netip.Addr {
-	if interval <= pollPartInterval || len(agents) == 0 {
+// partInterval, the agents are polled in parts, one in each partInterval. b.mu must be held.
+func (b *Balancer) takeNextAgents(agents []netip.Addr, interval, partInterval time.Duration) []netip.Addr {
+	if interval <= partInterval || len(agents) == 0 {
 		return agents
 	}
-	count := int(int64(len(agents)) * int64(pollPartInterval) / int64(interval))
+	count := int(int64(len(agents)) * int64(partInterval) / int64(interval))
 	var part []netip.Addr
 	for range max(count, 1) {
 		b.nextAgent %= len(agents)
@@ -247,6 +254,9 @@
 		ListRevision: b.list.revision, ListComplete: b.agentsComplete(now), Starting: b.isStarting(now),
 	}
 	d.StoreAge, d.Watching = b.peers.StoreAge(now)
+	if b.paths != nil && !b.stopping {
+		d.DataCentre, d.ReachedDataCentres = b.config.DataCentre, b.paths.Reached(now)
+	}
 	return d
 }
 
