paths: Notice a cut that began before the balancer

Data centres that the digests of others name now count as cut off while agents that have never answered stay silent.

TestStartDuringCut failed before (no data centre was cut off).

--- a/internal/segment/dispatch/relayed.go
+++ b/internal/segment/dispatch/relayed.go
@@ -80,7 +80,10 @@
 // that.
 func (d *Dispatcher) relayUnknown(e *flowEntry, packets ...[]byte) (decisions []Decision) {
 	for _, name := range d.paths.CutOff() {
-		mayHold := func(a *agent) bool { return a.status.DataCentre == name && !slices.Contains(e.deniedBy, a) }
+		// The data centre of an agent that has sent no status is not known.
+		mayHold := func(a *agent) bool {
+			return (!a.statusKnown || a.status.DataCentre == name) && !slices.Contains(e.deniedBy, a)
+		}
 		if !slices.ContainsFunc(d.agentList, mayHold) {
 			continue
 		}
--- a/internal/segment/paths/paths.go
+++ b/internal/segment/paths/paths.go
@@ -36,8 +36,8 @@
 	// maxDigestAge is how old the last digest of a relay may be. It covers the digest
 	// intervals of 75 balancers and the loss of no digest.
 	maxDigestAge = 2500 * time.Millisecond
-	// MaxReported bounds the data centres that a balancer reports as reached.
-	MaxReported = 16
+	// maxReported bounds the data centres that a balancer reports as reached.
+	maxReported = 16
 )
 
 // Config configures a Set.
@@ -48,6 +48,8 @@
 
 // dataCentre is what is known of a data centre with agents.
 type dataCentre struct {
+	// heardAt is when the last message from there arrived; zero means that none has and
+	// that only other balancers have reported the data centre.
 	heardAt time.Time
 	// unanswered counts the requests since the last message, and askedAt is when the
 	// first of them was sent.
@@ -83,12 +85,27 @@
 	return &Set{own: c.DataCentre, dataCentres: make(map[string]*dataCentre), digests: make(map[netip.Addr]digest)}, nil
 }
 
-// RecordRequest records that an agent in a data centre was asked for its status.
+// RecordRequest records that an agent in a data centre was asked for its status. The name
+// is empty if the agent has never answered; it may then be in any data centre that has
+// never answered.
 func (s *Set) RecordRequest(now time.Time, name string) {
-	if s == nil || s.dataCentres[name] == nil {
+	if s == nil {
 		return
 	}
-	d := s.dataCentres[name]
+	if d := s.dataCentres[name]; d != nil {
+		d.recordRequest(now)
+	}
+	if name != "" {
+		return
+	}
+	for _, d := range s.dataCentres {
+		if d.heardAt.IsZero() {
+			d.recordRequest(now)
+		}
+	}
+}
+
+func (d *dataCentre) recordRequest(now time.Time) {
 	if d.unanswered == 0 {
 		d.askedAt = now
 	}
@@ -142,7 +159,7 @@
 }
 
 // Reached returns the names of the data centres whose agents answer, in alphabetical
-// order and at most MaxReported of them.
+// order and at most maxReported of them.
 func (s *Set) Reached(now time.Time) (names []string) {
 	if s == nil {
 		return nil
@@ -153,14 +170,20 @@
 		}
 	}
 	slices.Sort(names)
-	return names[:min(len(names), MaxReported)]
+	return names[:min(len(names), maxReported)]
 }
 
 // HandleDigest records the data centre of another balancer, the data centres that it
 // reaches, and the share of a processor core that it may use, in thousandths.
 func (s *Set) HandleDigest(now time.Time, from netip.Addr, ownDataCentre string, reached []string, cpuPermille int) {
-	if s != nil {
-		s.digests[from] = digest{dataCentre: ownDataCentre, reached: reached, cpuPermille: cpuPermille, receivedAt: now}
+	if s == nil {
+		return
+	}
+	s.digests[from] = digest{dataCentre: ownDataCentre, reached: reached, cpuPermille: cpuPermille, receivedAt: now}
+	for _, name := range reached[:min(len(reached), maxReported)] {
+		if name != "" && s.dataCentres[name] == nil {
+			s.dataCentres[name] = &dataCentre{}
+		}
 	}
 }
 
--- a/internal/segment/paths/paths_test.go
+++ b/internal/segment/paths/paths_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Guards against a balancer that starts during a cut, has never heard of the data centre
+// behind it, and drops packets of flows there.
+func TestStartDuringCut(t *testing.T) {
+	is := is.New(t)
+	s, err := New(Config{DataCentre: "north"})
+	is.NoErr(err)
+	s.HandleDigest(startTime, balancerC, "west", []string{"north", "south", "west"}, 88)
+	for range minUnanswered {
+		s.RecordRequest(startTime, "")
+	}
+	s.RecordMessage(startTime.Add(10*time.Millisecond), "west")
+	s.RecordMessage(startTime.Add(10*time.Millisecond), "north")
+	is.Equal(s.CutOff(), nil)
+	s.RecordMessage(startTime.Add(answerTimeout), "west")
+	is.Equal(s.CutOff(), []string{"south"})
+	is.Equal(len(s.Relays("south")), 1)
+}
+
 // Guards against packets that go the long way after a cut, and against a way that changes
 // with each report of an agent behind a cut of one direction.
 func TestReturnToShortWay(t *testing.T) {
