--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -53,6 +53,7 @@
 			b.recordMalformed(now, "returned packet", err)
 			return
 		}
+		b.exchangeEvacuations(now, from, m.Evacuations)
 		b.config.Metrics.Counter("packets.returned." + m.Reason.String()).Inc(1)
 		b.decisions.Log(now, "packet_returned", m.Reason.String(), "flow", packet.FlowName(s.KeyFromCaller()), "agent", from, "first", s.IsFirstPacket())
 		b.execute(now, b.core.HandleReturned(now, from, &s, m.Reason, m.Load))
@@ -80,6 +81,7 @@
 	if b.isStarting(now) {
 		b.core.SetAgentListComplete(b.agentsComplete(now))
 	}
+	b.exchangeEvacuations(now, from, m.Evacuations)
 	for _, address := range m.Balancers {
 		b.peers.Add(now, address)
 	}
@@ -93,6 +95,7 @@
 func (b *Balancer) handleDigest(now time.Time, from netip.Addr, m message.Digest) {
 	b.peers.HandleDigest(now, from, m)
 	b.paths.HandleDigest(now, from, m.DataCentre, m.ReachedDataCentres, m.CPUPermille)
+	b.applyEvacuations(now, m.Evacuations, from.String())
 	b.requestNewerView(from, m.ConfigVersion)
 	if _, reachable := b.storeAge(now); !reachable && m.ListRevision.Compare(b.list.revision) > 0 {
 		b.requestView(from)
@@ -198,21 +201,32 @@
 
 // sendHellos sends agents a request for their status.
 func (b *Balancer) sendHellos(agents []netip.Addr) {
+	hellos := make([]message.Hello, len(agents))
 	b.mu.Lock()
-	version := b.core.Routes().Version()
-	unlisted := make(map[netip.Addr]bool)
 	now := time.Now()
-	_, storeReachable := b.storeAge(now)
-	for _, address := range agents {
-		unlisted[address] = storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(address)
+	for i, address := range agents {
+		hellos[i] = b.hello(address)
 		b.core.RecordRequest(now, address)
 	}
 	b.mu.Unlock()
-	for _, address := range agents {
-		b.sendMessage(address, message.Hello{ConfigVersion: version, Unlisted: unlisted[address]})
+	for i, address := range agents {
+		b.sendMessage(address, hellos[i])
 	}
 }
 
+// hello returns the Hello for an agent. b.mu must be held.
+func (b *Balancer) hello(agent netip.Addr) (h message.Hello) {
+	_, storeReachable := b.storeAge(time.Now())
+	h = message.Hello{
+		ConfigVersion: b.core.Routes().Version(), Evacuations: b.evacuations.State(),
+		Unlisted: storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(agent),
+	}
+	if service, known := b.core.Service(agent); known && b.config.ColdBounds != nil && b.core.Routes() != nil {
+		h.ColdRate, h.ColdRateKnown = b.core.Routes().ColdRate(service), true
+	}
+	return h
+}
+
 // takeNextAgents returns the agents that are polled now. If the interval at which each agent is polled is longer than
 // partInterval, the agents are polled in parts, one in each partInterval. b.mu must be held.
 func (b *Balancer) takeNextAgents(agents []netip.Addr, interval, partInterval time.Duration) []netip.Addr {
@@ -252,6 +266,7 @@
 	d = message.Digest{
 		ConfigVersion: b.core.Routes().Version(), Agents: b.hashAgents(now), CPUPermille: b.config.CPUPermille,
 		ListRevision: b.list.revision, ListComplete: b.agentsComplete(now), Starting: b.isStarting(now),
+		Evacuations: b.evacuations.State(),
 	}
 	d.StoreAge, d.Watching = b.peers.StoreAge(now)
 	if b.paths != nil && !b.stopping {
@@ -267,7 +282,8 @@
 }
 
 // applyConfig puts a configuration in force if it is newer than the current one, and reports whether it did. The source
-// is named in the log.
+// is named in the log. Without knowledge of the evacuations none is put in force, because new flows could then reach
+// hosts in an evacuated data centre.
 func (b *Balancer) applyConfig(raw []byte, source string) (applied bool) {
 	set, err := b.config.DecodeConfig(raw)
 	if err != nil {
@@ -276,11 +292,11 @@
 	}
 	b.mu.Lock()
 	previous := b.core.Routes().Version()
-	applied = b.core.SetRoutes(set)
+	applied = (!b.usesEvacuations() || b.evacuations.State().Known()) && b.core.SetRoutes(set)
 	b.mu.Unlock()
 	if applied {
 		logging.Line(level.Info(b.config.Logger), "event", "config_in_force", "version", set.Version(), "previous", previous,
-			"routes", set.Len(), "unreadable_routes", set.UnreadableRoutes(), "source", source)
+			"routes", set.Len(), "unreadable_routes", set.UnreadableRoutes(), "cold_limits", set.ColdRateCount(), "source", source)
 	}
 	return applied
 }
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	"github.com/pkg/errors"
 
 	"agateramp/internal/core/flow"
+	"agateramp/internal/segment/coldstart"
 	"agateramp/internal/segment/packet"
 	"agateramp/internal/segment/paths"
 	"agateramp/internal/segment/routes"
@@ -74,6 +75,9 @@
 	// Paths holds the data centres that the balancer reaches. The dispatcher records the
 	// messages of agents in it. If nil, no packet is relayed by another balancer.
 	Paths *paths.Set
+	// ColdBounds are how far the new flows of a cold host may exceed the figure of the
+	// configuration. If nil, no flow is reset because all hosts are cold.
+	ColdBounds *coldstart.Bounds
 }
 
 // Dispatcher decides on the packets of one balancer. It is not safe for concurrent
@@ -107,6 +111,12 @@
 	firstListedAt time.Time
 	// agentListComplete is set while the store lists every agent that can be reached.
 	agentListComplete bool
+	// evacuated holds the evacuated data centres.
+	evacuated []string
+	// coldBounds are as in Config, and balancerCount is the number of balancers that share
+	// the hosts; 0 stands for one.
+	coldBounds    *coldstart.Bounds
+	balancerCount int
 }
 
 // New returns a dispatcher without routes and agents. It fails if c.MaxFlows is
@@ -121,6 +131,7 @@
 	return &Dispatcher{
 		dataCentre: c.DataCentre, paths: c.Paths, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32]*service), flows: newFlowTable(c.MaxFlows),
+		coldBounds: c.ColdBounds,
 	}, nil
 }
 
@@ -208,6 +219,10 @@
 			return d.forward(e, a.agent, StepRepeat, s.Data)
 		}
 	}
+	if e.returnedOffers < len(e.triedAgents) && d.isEvacuated(now, e.serviceTag) {
+		// A host that was offered the flow before the evacuation may still accept it.
+		return []Decision{Drop{Flow: e.key, Reason: ReasonEvacuated}}
+	}
 	e.triedAgents, e.returnedOffers = nil, 0
 	return d.offer(now, e, s.Data, StepOffer)
 }
@@ -234,6 +249,9 @@
 		// A host that has not answered may still accept the flow.
 		return nil
 	}
+	if d.isEvacuated(now, e.serviceTag) {
+		return d.reset(e, 0, ReasonEvacuated)
+	}
 	if d.shouldQueue(now, e) {
 		return d.enqueue(now, e, data)
 	}
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -16,6 +17,7 @@
 	"agateramp/internal/core/flow"
 	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/segment/datapathpb"
+	"agateramp/internal/segment/evacuation"
 	"agateramp/internal/segment/packet"
 )
 
@@ -28,6 +30,12 @@
 	ConfigVersion uint64
 	// Unlisted is set if the store has no entry of the agent although the balancer's list of entries is current.
 	Unlisted bool
+	// Evacuations is the newest state that the balancer has. The zero value means that it does not report one.
+	Evacuations evacuation.State
+	// ColdRate is how many new flows a second a cold host of the agent's service bears by the configuration; 0 states no
+	// limit. It is valid only if ColdRateKnown is set.
+	ColdRate      float64
+	ColdRateKnown bool
 }
 
 // Status is an agent's report on itself and its host.
@@ -45,6 +53,9 @@
 	ConfigHolder  netip.Addr
 	// Stopping is set while the agent shuts down, usually for a restart.
 	Stopping bool
+	// Evacuations is the newest state that the agent has. The zero value means that it has none, or that the Hello which
+	// this answers had one that is as new.
+	Evacuations evacuation.State
 }
 
 // Accepted is an agent's notice to a balancer that its host holds a flow.
@@ -62,6 +73,8 @@
 	Reason packet.ReturnReason
 	Packet []byte
 	Load   packet.Load
+	// Evacuations is the newest state that the agent has. It is set only if Reason is packet.ReturnEvacuated.
+	Evacuations evacuation.State
 }
 
 // Lookup is the request of a balancer to an agent to say which of the given flows its host holds.
@@ -110,6 +123,8 @@
 	// if the sender relays no packets of other balancers.
 	DataCentre         string
 	ReachedDataCentres []string
+	// Evacuations is the newest state that the sender has. The zero value means that it does not report one.
+	Evacuations evacuation.State
 }
 
 // UnknownAge is the age of data from a source that does not respond.
@@ -131,7 +146,7 @@
 	pb := &datapathpb.Message{}
 	switch m := m.(type) {
 	case Hello:
-		pb.Body = &datapathpb.Message_Hello{Hello: &datapathpb.Hello{ConfigVersion: m.ConfigVersion, Unlisted: m.Unlisted}}
+		pb.Body = &datapathpb.Message_Hello{Hello: encodeHello(m)}
 	case Status:
 		pb.Body = &datapathpb.Message_Status{Status: encodeStatus(m)}
 	case Accepted:
@@ -140,7 +155,7 @@
 		}}
 	case Returned:
 		pb.Body = &datapathpb.Message_Returned{Returned: &datapathpb.Returned{
-			Reason: datapathpb.Reason(m.Reason), Packet: m.Packet, Load: encodeLoad(m.Load),
+			Reason: datapathpb.Reason(m.Reason), Packet: m.Packet, Load: encodeLoad(m.Load), Evacuations: m.Evacuations.Encode(),
 		}}
 	case Lookup:
 		pb.Body = &datapathpb.Message_Lookup{Lookup: &datapathpb.Lookup{Flows: encodeFlows(m.Flows), Acknowledgements: m.Acknowledgements}}
@@ -164,14 +179,16 @@
 	}
 	switch body := pb.GetBody().(type) {
 	case *datapathpb.Message_Hello:
-		return Hello{ConfigVersion: body.Hello.GetConfigVersion(), Unlisted: body.Hello.GetUnlisted()}, nil
+		return decodeHello(body.Hello), nil
 	case *datapathpb.Message_Status:
 		return decodeStatus(body.Status)
 	case *datapathpb.Message_Accepted:
 		return decodeAccepted(body.Accepted), nil
 	case *datapathpb.Message_Returned:
 		r := body.Returned
-		return Returned{Reason: packet.ReturnReason(r.GetReason()), Packet: r.GetPacket(), Load: decodeLoad(r.GetLoad())}, nil
+		return Returned{
+			Reason: packet.ReturnReason(r.GetReason()), Packet: r.GetPacket(), Load: decodeLoad(r.GetLoad()), Evacuations: evacuation.Decode(r.GetEvacuations()),
+		}, nil
 	case *datapathpb.Message_Lookup:
 		return Lookup{Flows: decodeFlows(body.Lookup.GetFlows()), Acknowledgements: body.Lookup.GetAcknowledgements()}, nil
 	case *datapathpb.Message_Located:
@@ -185,11 +202,26 @@
 	return nil, errUnknownKind
 }
 
+func encodeHello(m Hello) (pb *datapathpb.Hello) {
+	pb = &datapathpb.Hello{ConfigVersion: m.ConfigVersion, Unlisted: m.Unlisted, Evacuations: m.Evacuations.Encode()}
+	if m.ColdRateKnown {
+		pb.ColdRate = &m.ColdRate
+	}
+	return pb
+}
+
+func decodeHello(pb *datapathpb.Hello) Hello {
+	return Hello{
+		ConfigVersion: pb.GetConfigVersion(), Unlisted: pb.GetUnlisted(), Evacuations: evacuation.Decode(pb.GetEvacuations()),
+		ColdRate: pb.GetColdRate(), ColdRateKnown: pb.ColdRate != nil,
+	}
+}
+
 func encodeStatus(m Status) (pb *datapathpb.Status) {
 	pb = &datapathpb.Status{
 		Node: m.Node, Service: m.Service, DataCentre: m.DataCentre, State: datapathpb.HostState(m.State),
 		Load: encodeLoad(m.Load), ColdMs: uint32(m.ColdRemaining.Milliseconds()), ConfigVersion: m.ConfigVersion, Stopping: m.Stopping,
-		Balancers: EncodeAddresses(m.Balancers),
+		Balancers: EncodeAddresses(m.Balancers), Evacuations: m.Evacuations.Encode(),
 	}
 	if m.ConfigHolder.Is4() {
 		pb.ConfigHolder = m.ConfigHolder.AsSlice()
@@ -206,7 +238,7 @@
 		Node: pb.GetNode(), Service: pb.GetService(), DataCentre: pb.GetDataCentre(), State: packet.HostState(pb.GetState()),
 		Load: decodeLoad(pb.GetLoad()), ColdRemaining: time.Duration(pb.GetColdMs()) * time.Millisecond,
 		Balancers: DecodeAddresses(pb.GetBalancers()), ConfigVersion: pb.GetConfigVersion(), ConfigHolder: configHolder,
-		Stopping: pb.GetStopping(),
+		Stopping: pb.GetStopping(), Evacuations: evacuation.Decode(pb.GetEvacuations()),
 	}, nil
 }
 
@@ -215,6 +247,7 @@
 		ConfigVersion: m.ConfigVersion, Agents: m.Agents, ListRevision: uint64(m.ListRevision.Number), ListGeneration: m.ListRevision.Generation, ListComplete: m.ListComplete,
 		Watching: m.Watching, StoreAgeMs: uint32(min(m.StoreAge, UnknownAge).Milliseconds()), CpuPermille: uint32(m.CPUPermille),
 		Starting: m.Starting, DataCentre: m.DataCentre, ReachedDataCentres: m.ReachedDataCentres,
+		Evacuations: m.Evacuations.Encode(),
 	}
 }
 
@@ -224,22 +257,34 @@
 		ListRevision: store.Revision{Generation: pb.GetListGeneration(), Number: int64(pb.GetListRevision())},
 		Watching:     pb.GetWatching(), StoreAge: time.Duration(pb.GetStoreAgeMs()) * time.Millisecond, CPUPermille: int(pb.GetCpuPermille()),
 		Starting: pb.GetStarting(), DataCentre: pb.GetDataCentre(), ReachedDataCentres: pb.GetReachedDataCentres(),
+		Evacuations: evacuation.Decode(pb.GetEvacuations()),
 	}
 }
 
-func encodeLoad(l packet.Load) *datapathpb.Load {
-	return &datapathpb.Load{
+func encodeLoad(l packet.Load) (pb *datapathpb.Load) {
+	pb = &datapathpb.Load{
 		Slots: uint32(l.Slots), Busy: uint32(l.OutstandingRequests), Flows: uint32(l.OpenFlows),
 		LatencyUs: uint32(l.Latency.Microseconds()), UtilisationPermille: uint32(l.Utilisation * 1000),
+		Limit: uint32(l.Limit), Held: uint32(l.HeldRequests), BaseLatencyUs: uint32(l.BaseLatency.Microseconds()), RatePermille: uint32(math.Round(l.Rate * 1000)),
+	}
+	if l.Cold {
+		pb.ColdRoom = uint32(l.ColdRoom) + 1
 	}
+	return pb
 }
 
-func decodeLoad(pb *datapathpb.Load) packet.Load {
-	return packet.Load{
+func decodeLoad(pb *datapathpb.Load) (l packet.Load) {
+	l = packet.Load{
 		Slots: int(pb.GetSlots()), OutstandingRequests: int(pb.GetBusy()), OpenFlows: int(pb.GetFlows()),
 		Latency:     time.Duration(pb.GetLatencyUs()) * time.Microsecond,
 		Utilisation: float64(pb.GetUtilisationPermille()) / 1000,
+		Limit:       int(pb.GetLimit()), HeldRequests: int(pb.GetHeld()),
+		BaseLatency: time.Duration(pb.GetBaseLatencyUs()) * time.Microsecond, Rate: float64(pb.GetRatePermille()) / 1000,
+	}
+	if room := pb.GetColdRoom(); room > 0 {
+		l.Cold, l.ColdRoom = true, int(room-1)
 	}
+	return l
 }
 
 func encodeFlow(key flow.Key) *datapathpb.FlowKey {
--- a/internal/segment/packet/load.go
+++ b/internal/segment/packet/load.go
@@ -47,6 +47,20 @@
 	// Utilisation is the moving average of the share of Slots that requests occupy,
 	// from 0 to 1.
 	Utilisation float64
+	// Limit is the number of requests in progress that the host takes well, estimated by
+	// its agent; 0 means that it is not known.
+	Limit int
+	// HeldRequests is the number of requests that wait at the agent until the host may
+	// get them. They are not part of OutstandingRequests.
+	HeldRequests int
+	// BaseLatency is the mean time to an answer without queueing, and Rate the number
+	// of requests a second that the host can answer. Zero means that they are not known.
+	BaseLatency time.Duration
+	Rate        float64
+	// Cold is set while the host is cold and its new flows are limited. ColdRoom is then
+	// how many it takes now.
+	Cold     bool
+	ColdRoom int
 }
 
 // ReturnReason is why an agent returned a packet to the balancer that sent it.
@@ -68,12 +82,16 @@
 	ReturnWrongService
 	// ReturnBusy means that the host has reached its limit of outstanding requests.
 	ReturnBusy
+	// ReturnEvacuated means that the data centre of the host is evacuated.
+	ReturnEvacuated
+	// ReturnCold means that the host is cold and takes no more new flows at present.
+	ReturnCold
 )
 
 // String returns the name of the reason as it appears in logs and metrics, and
 // "invalid" for a value without a name.
 func (r ReturnReason) String() string {
-	names := [...]string{"unspecified", "not_held", "refused", "no_host", "draining", "wrong_service", "busy"}
+	names := [...]string{"unspecified", "not_held", "refused", "no_host", "draining", "wrong_service", "busy", "evacuated", "cold"}
 	if int(r) >= len(names) {
 		return "invalid"
 	}
