dispatch: Offer less often to hosts that return offers as busy

While all hosts of a service are full, each balancer offered queued flows to every host every 20 ms. In a burst of 2.3 times the usual traffic 23 balancers got 2,646 offers a second each returned as busy, for 161 new flows; on small balancers that is most of the processor time. The time for which a host counts as full now doubles with each return in a row, up to 160 ms, and is back at 20 ms once the host answers a first packet.

TestFewOffersToFullHosts failed before.

--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -80,6 +80,9 @@
 	// Until fullUntil the host is assumed to have no room for any flow, and until
 	// fullForLateUntil to have no free slot for a late flow.
 	fullUntil, fullForLateUntil time.Time
+	// busyInRow and lateBusyInRow count the first packets, of flows that are not late and of
+	// late ones, that the host has returned as busy since it last answered one.
+	busyInRow, lateBusyInRow int
 }
 
 // eligible reports whether the host may be offered new flows.
--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -14,6 +14,11 @@
 	// flows are offered to hosts at the same interval, and earlier after a host has
 	// answered a first packet.
 	fullBackoff = 20 * time.Millisecond
+	// maxBackoffDoublings bounds how often fullBackoff doubles for a host that returns one
+	// first packet after the other as busy. Many balancers that compete for few free slots
+	// would send each other's hosts thousands of offers a second otherwise; at 160 ms, ten
+	// balancers still find a free slot within about 16 ms.
+	maxBackoffDoublings = 3
 	// maxQueueTime bounds how long a first packet waits for a host with room. Callers
 	// give up 1.4 s after their first packet.
 	maxQueueTime = 1200 * time.Millisecond
@@ -204,6 +209,19 @@
 	return cmp.Or(cmp.Compare(a.priority, b.priority), b.firstSentAt.Compare(a.firstSentAt))
 }
 
+// recordBusy records that the host has returned a first packet as busy. The time for which
+// it counts as full doubles with each one in a row.
+func (a *agent) recordBusy(now time.Time, late bool) {
+	if late {
+		a.lateBusyInRow++
+		a.fullForLateUntil = now.Add(fullBackoff << min(a.lateBusyInRow-1, maxBackoffDoublings))
+		return
+	}
+	a.busyInRow++
+	a.fullUntil = now.Add(fullBackoff << min(a.busyInRow-1, maxBackoffDoublings))
+	a.fullForLateUntil = a.fullUntil
+}
+
 // isFull reports whether the host is assumed to have no room for a flow.
 func (a *agent) isFull(now time.Time, late bool) bool {
 	return now.Before(a.fullUntil) || late && now.Before(a.fullForLateUntil)
--- a/internal/segment/dispatch/queue_test.go
+++ b/internal/segment/dispatch/queue_test.go
@@ -232,3 +232,33 @@
 	b.advance(firstStatusWindow)
 	b.is.Equal(len(b.AgentsWithoutStatus(b.now, 9)), 0)
 }
+
+// Guards against thousands of offers a second to full hosts, which cost small balancers
+// and agents the time for packets of open flows, and against a host that goes on getting
+// few offers once it has room again.
+func TestFewOffersToFullHosts(t *testing.T) {
+	b := newTestBalancer(t)
+	s := firstPacket(1, studioAddr, 0)
+	b.queueAfterBusy(s)
+	offersWithin := func(d time.Duration) (offers int) {
+		for end := b.now.Add(d); b.now.Before(end); {
+			for decisions := b.tickAfter(5 * time.Millisecond); len(decisions) > 0; {
+				f, ok := decisions[0].(Forward)
+				if !ok {
+					break
+				}
+				offers++
+				decisions = b.HandleReturned(b.now, f.Agent, s, packet.ReturnBusy, packet.Load{})
+			}
+		}
+		return offers
+	}
+	offers := offersWithin(time.Second)
+	b.is.True(offers >= 12) // each host is asked several times
+	b.is.True(offers <= 30) // 150 at a constant interval
+
+	for i := range 3 {
+		b.HandleAccepted(b.now, host(i), firstPacket(2, studioAddr, 0).KeyFromCaller(), 1, true, packet.Load{})
+	}
+	b.is.True(offersWithin(2*fullBackoff) >= 3)
+}
--- a/internal/segment/dispatch/replies.go
+++ b/internal/segment/dispatch/replies.go
@@ -15,7 +15,9 @@
 // came through this balancer, placementTime is the time since the caller sent that
 // packet; otherwise it is 0.
 func (d *Dispatcher) HandleAccepted(now time.Time, agent netip.Addr, key flow.Key, sequence uint32, handshake bool, l packet.Load) (placementTime time.Duration, decisions []Decision) {
-	d.recordMessage(now, agent, l)
+	if a := d.recordMessage(now, agent, l); a != nil && handshake {
+		a.busyInRow, a.lateBusyInRow = 0, 0
+	}
 	e := d.flows.byKey[key]
 	if e == nil {
 		e = &flowEntry{key: key, phase: phaseOpening}
@@ -63,7 +65,7 @@
 	switch {
 	case a == nil:
 	case reason == packet.ReturnBusy:
-		a.markFull(now, e != nil && e.late)
+		a.recordBusy(now, e != nil && e.late)
 	case reason == packet.ReturnEvacuated:
 		// The agent may not have got the end of the evacuation yet.
 		a.markFull(now, false)
