dispatch: Ask likely hosts first for unknown flows

A search asked all agents of the route's services, about 100 messages with their replies. When balancers are restarted while others are slow, the flows that move cost the slow ones more than they have. Rounds of more than 8 flows ask all agents as before, because their lookups are shared.

--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -30,6 +30,9 @@
 	// scopeHolder contains the agent that another balancer named as the holder of a flow
 	// whose packets it relayed. It is probed without a lookup.
 	scopeHolder searchScope = iota
+	// scopeLikely contains the agents that the flow was most likely placed at. It is empty
+	// if the route has few agents.
+	scopeLikely
 	// scopeRoute contains the agents of the services that the flow's route names.
 	scopeRoute
 	// scopeOthers contains all other agents, because flows stay at their host when a
@@ -47,7 +50,7 @@
 
 // startSearch begins a search for the host that holds a flow and buffers the packet.
 func (d *Dispatcher) startSearch(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
-	d.beginSearch(e, s, scopeRoute)
+	d.beginSearch(e, s, scopeLikely)
 	return d.queueLookup(now, e)
 }
 
@@ -75,6 +78,9 @@
 // flow.
 func (d *Dispatcher) candidates(now time.Time, e *flowEntry) (agents []*agent) {
 	e.expireDenials(now)
+	if e.scope == scopeLikely {
+		return d.likelyHolders(now, e)
+	}
 	tags := d.routeServiceTags(e)
 	for _, a := range d.agentList {
 		servesRoute := a.statusKnown && slices.Contains(tags, a.serviceTag)
@@ -138,7 +144,8 @@
 	if reset := d.review(e, 0); reset != nil {
 		return reset
 	}
-	if a := d.nextProbe(now, e); a != nil {
+	// A probe is dearer than a lookup of all agents, one of which may be sure.
+	if a := d.nextProbe(now, e); a != nil && e.scope != scopeLikely {
 		return d.probe(now, e, a)
 	}
 	if e.scope != scopeOthers {
--- a/internal/segment/dispatch/send.go
+++ b/internal/segment/dispatch/send.go
@@ -123,9 +123,12 @@
 			decisions = append(decisions, reset...)
 			continue
 		}
+		if e.scope == scopeLikely && len(waiting) > maxLikelyFlows {
+			e.scope = scopeRoute
+		}
 		agents := d.candidates(now, e)
-		if len(agents) == 0 && e.scope == scopeRoute {
-			e.scope = scopeOthers
+		for len(agents) == 0 && e.scope != scopeOthers {
+			e.scope++
 			agents = d.candidates(now, e)
 		}
 		if len(agents) == 0 {
