--- a/internal/segment/dispatch/queue.go
+++ b/internal/segment/dispatch/queue.go
@@ -16,9 +16,9 @@
 	fullBackoff = 20 * time.Millisecond
 	// maxBackoffDoublings bounds how often fullBackoff doubles for a host that returns one
 	// first packet after the other as busy. Many balancers that compete for few free slots
-	// would send each other's hosts thousands of offers a second otherwise; at 160 ms, ten
-	// balancers still find a free slot within about 16 ms.
-	maxBackoffDoublings = 3
+	// would send each other's hosts thousands of offers a second otherwise; at 80 ms, ten
+	// balancers still find a free slot within about 8 ms.
+	maxBackoffDoublings = 2
 	// maxQueueTime bounds how long a first packet waits for a host with room. Callers
 	// give up 1.4 s after their first packet.
 	maxQueueTime = 1200 * time.Millisecond
