--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -33,6 +33,9 @@
 	// firstStatusWindow is how long an agent without a status is asked for it at
 	// shorter intervals after it was added.
 	firstStatusWindow = 2 * time.Second
+	// startingTime is how long after its first list of agents a balancer counts as starting.
+	// Agents that the store does not list report to it within this time.
+	startingTime = 1200 * time.Millisecond
 	// maxUnansweredOffers is how many consecutive offers an agent may leave unanswered
 	// before it gets no more until its next message.
 	maxUnansweredOffers = 2
@@ -49,6 +52,8 @@
 	ColdRemaining time.Duration
 	// Stopping is set while the agent is about to restart.
 	Stopping bool
+	// Run names the run of the agent; 0 means that it is not known.
+	Run uint64
 }
 
 // agent is what the dispatcher knows of an agent and its host.
@@ -72,6 +77,9 @@
 	// if a status has shown the host before that.
 	coldUntil time.Time
 	startSeen bool
+	// seenAllRun is the run of the agent that has seen all flows of its host, because
+	// everything has started anew; 0 means none.
+	seenAllRun uint64
 	// offersSinceReport counts the offers since the last load report, and
 	// unansweredOffers the consecutive offers without an answer.
 	offersSinceReport, unansweredOffers int
@@ -80,9 +88,10 @@
 	// Until fullUntil the host is assumed to have no room for any flow, and until
 	// fullForLateUntil to have no free slot for a late flow.
 	fullUntil, fullForLateUntil time.Time
-	// busyInRow and lateBusyInRow count the first packets, of flows that are not late and of
-	// late ones, that the host has returned as busy since it last answered one.
-	busyInRow, lateBusyInRow int
+	// busyReturns counts how often in a row the host has returned a first packet as busy,
+	// and busyUntil is until when it was last left without offers for that.
+	busyReturns int
+	busyUntil   time.Time
 }
 
 // eligible reports whether the host may be offered new flows.
@@ -108,6 +117,12 @@
 	return d.silent(now, a) || d.paths.IsCutOff(a.status.DataCentre)
 }
 
+// isStarting reports whether the balancer was started and has no list of agents, or has
+// read the first one just before: agents may not have reported to it yet.
+func (d *Dispatcher) isStarting(now time.Time) bool {
+	return !d.startedAt.IsZero() && (d.firstListedAt.IsZero() || now.Sub(d.firstListedAt) < startingTime)
+}
+
 // StatusInterval returns the interval at which each agent is to be asked for its
 // status.
 func (d *Dispatcher) StatusInterval() time.Duration {
@@ -127,12 +142,18 @@
 		d.ensureAgent(now, address).listed = true
 	}
 	d.prune(now)
+	d.resumeSearches()
 }
 
 // SetAgentListComplete sets whether the listed agents are all that can be reached:
 // the store answers, and has done so for as long as lapsed entries take to come
 // back. Only then is a flow reset because every agent has denied it.
-func (d *Dispatcher) SetAgentListComplete(complete bool) { d.agentListComplete = complete }
+func (d *Dispatcher) SetAgentListComplete(complete bool) {
+	if complete && !d.agentListComplete {
+		d.resumeSearches()
+	}
+	d.agentListComplete = complete
+}
 
 // AddAgents adds agents that another balancer knows. Known agents stay as they are.
 func (d *Dispatcher) AddAgents(now time.Time, addresses []netip.Addr) {
@@ -193,6 +214,9 @@
 	a.statusKnown, a.lastMessageAt, a.status = true, now, s
 	a.coldUntil, a.evacuated = now.Add(s.ColdRemaining), slices.Contains(d.evacuated, s.DataCentre)
 	a.startSeen = a.startSeen || s.ColdRemaining > 0
+	if d.start == startAnew && a.ranBefore() {
+		d.forgetSeenAll()
+	}
 	a.offersSinceReport, a.unansweredOffers = 0, 0
 	d.paths.RecordMessage(now, s.DataCentre)
 	return changed
@@ -227,14 +251,13 @@
 }
 
 // recordMessage records that an agent has sent a message, and the load in the message
-// unless its number of slots is 0. The host then no longer counts as full.
-// recordMessage returns the agent, or nil if the agent is unknown.
+// unless its number of slots is 0. It returns the agent, or nil if the agent is unknown.
 func (d *Dispatcher) recordMessage(now time.Time, address netip.Addr, l packet.Load) *agent {
 	a := d.agents[address]
 	if a == nil {
 		return nil
 	}
-	a.lastMessageAt, a.unansweredOffers, a.fullUntil, a.fullForLateUntil = now, 0, time.Time{}, time.Time{}
+	a.lastMessageAt, a.unansweredOffers = now, 0
 	d.paths.RecordMessage(now, a.status.DataCentre)
 	if l.Slots > 0 {
 		a.status.Load, a.offersSinceReport = l, 0
@@ -283,20 +306,23 @@
 	return addresses
 }
 
-// HostsJustStarted reports whether the hosts of all known agents had just started when
-// their agents first reported them, except for those that are gone. Right after the start
-// of a balancer, no host holds a flow from before then.
+// HostsJustStarted reports whether all hosts have just started: no known agent has reported
+// a host that ran before, and of the agents whose host is not gone at least half first
+// reported a host that had just started. The others have not seen their host yet. Right
+// after the start of a balancer, no host holds a flow from before then.
 func (d *Dispatcher) HostsJustStarted() bool {
-	anyStarted := false
+	started, notSeen := 0, 0
 	for _, a := range d.agentList {
 		switch {
-		case a.statusKnown && a.startSeen:
-			anyStarted = true
-		case !a.statusKnown || a.status.State != packet.HostGone:
+		case !a.statusKnown || a.status.State == packet.HostUnknown:
+			notSeen++
+		case a.startSeen:
+			started++
+		case a.status.State != packet.HostGone:
 			return false
 		}
 	}
-	return anyStarted
+	return started > 0 && started >= notSeen
 }
 
 // IsListed reports whether the store lists an agent.
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -75,6 +75,9 @@
 	// reply it waits for, and unsureAgents those that have to be probed.
 	scope                       searchScope
 	awaitedAgents, unsureAgents []*agent
+	// unseen holds the answers of agents that have not seen the flow, until it is known
+	// whether they are denials.
+	unseen []unseenReply
 	// probing is set while the search waits for the answer to a probe, and probesSent
 	// is the number of packets that each of triedAgents was probed with. onlyCandidate
 	// is the only agent whose host may hold a flow that was not found, or nil.
@@ -86,6 +89,10 @@
 	relayed bool
 	// buffered are copies of the packets that arrived during a search.
 	buffered [][]byte
+	// The search goes on until searchUntil, even if no agent can be asked. resumes is set
+	// while it waits to ask again.
+	searchUntil time.Time
+	resumes     bool
 	// acknowledgement is the caller's last acknowledgement, or 0 if none is known. A reset
 	// needs it as its sequence number.
 	acknowledgement uint32
@@ -96,6 +103,8 @@
 	// deadline is when the wait for an answer to an offer, a round of lookups or a
 	// probe ends; zero means none.
 	deadline time.Time
+	// postponed is set if the deadline was postponed because the process was stalled.
+	postponed bool
 	// inDeadlines is set while the entry is in Dispatcher.deadlines.
 	inDeadlines bool
 	// From retryAt on, the next packet of a flow that was not found starts another
@@ -155,7 +164,7 @@
 func (e *flowEntry) setOwner(owner netip.Addr) {
 	e.phase, e.owner = phaseEstablished, owner
 	e.triedAgents, e.deniedBy, e.firstPacket, e.returnedOffers, e.deadline = nil, nil, nil, 0, time.Time{}
-	e.awaitedAgents, e.unsureAgents, e.probing, e.probesSent, e.onlyCandidate = nil, nil, false, nil, nil
+	e.awaitedAgents, e.unsureAgents, e.unseen, e.probing, e.resumes, e.probesSent, e.onlyCandidate = nil, nil, nil, false, false, nil, nil
 }
 
 // flowTable holds the flows by key and in the order of their last use.
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -13,12 +13,19 @@
 	// lookupInterval is the shortest time between two rounds of lookups. Flows whose
 	// searches begin in between share the datagrams of the next round.
 	lookupInterval = 10 * time.Millisecond
+	// lookupBurst is the time whose lookups may be sent at once, in seconds: a single
+	// search asks all agents without delay in fleets that suit the balancer.
+	lookupBurst = 0.25
 	// maxLookupFlows bounds the flows in one lookup, which is sent as one datagram. A
 	// flow takes 24 bytes.
 	maxLookupFlows = 50
 	// probePackets is how many packets a probe sends. It takes two because hosts
 	// acknowledge every second packet.
 	probePackets = 2
+	// maxSearchTime bounds how long a balancer that has just started searches for a flow,
+	// from the first packet of the search on. Callers send at least two copies of a packet
+	// within this time.
+	maxSearchTime = 1200 * time.Millisecond
 )
 
 // searchScope is the set of agents that a search asks together in a round of
@@ -38,6 +45,8 @@
 	// scopeOthers contains all other agents, because flows stay at their host when a
 	// configuration changes their route.
 	scopeOthers
+	// scopeAll contains all agents.
+	scopeAll
 )
 
 // lookupRound holds the flows for the next round of lookups.
@@ -46,19 +55,35 @@
 	waiting []*flowEntry
 	// nextAt is the earliest time of the next round.
 	nextAt time.Time
+	// perSecond is Config.LookupsPerSecond. allowance is the number of lookups that may be
+	// sent without delay, as of lastAt; a round may overdraw it, which delays the next one.
+	perSecond, allowance float64
+	lastAt               time.Time
+}
+
+// schedule sets the earliest time of the next round after one that sends a number of
+// lookups.
+func (r *lookupRound) schedule(now time.Time, lookups int) {
+	delay := lookupInterval
+	if r.perSecond > 0 {
+		r.allowance = min(r.allowance+now.Sub(r.lastAt).Seconds()*r.perSecond, lookupBurst*r.perSecond) - float64(lookups)
+		r.lastAt = now
+		delay = max(delay, time.Duration(-r.allowance/r.perSecond*float64(time.Second)))
+	}
+	r.nextAt = now.Add(delay)
 }
 
 // startSearch begins a search for the host that holds a flow and buffers the packet.
 func (d *Dispatcher) startSearch(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
-	d.beginSearch(e, s, scopeLikely)
+	d.beginSearch(now, e, s, scopeLikely)
 	return d.queueLookup(now, e)
 }
 
 // beginSearch puts a flow into phaseSearching and buffers the packet.
-func (d *Dispatcher) beginSearch(e *flowEntry, s *packet.Segment, scope searchScope) {
+func (d *Dispatcher) beginSearch(now time.Time, e *flowEntry, s *packet.Segment, scope searchScope) {
 	e.phase, e.scope, e.acknowledgement = phaseSearching, scope, s.Acknowledgement
-	e.owner, e.awaitedAgents = netip.Addr{}, nil
-	e.triedAgents, e.returnedOffers, e.unsureAgents, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil
+	e.owner, e.awaitedAgents, e.resumes, e.searchUntil = netip.Addr{}, nil, false, now.Add(maxSearchTime)
+	e.triedAgents, e.returnedOffers, e.unsureAgents, e.unseen, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil, nil
 	d.flows.bufferPacket(e, s.Data)
 }
 
@@ -84,19 +109,29 @@
 	tags := d.routeServiceTags(e)
 	for _, a := range d.agentList {
 		servesRoute := a.statusKnown && slices.Contains(tags, a.serviceTag)
-		if servesRoute == (e.scope == scopeRoute) && !slices.Contains(e.deniedBy, a) {
+		if (e.scope == scopeAll || servesRoute == (e.scope == scopeRoute)) && !slices.Contains(e.deniedBy, a) {
 			agents = append(agents, a)
 		}
 	}
 	return agents
 }
 
-// HandleLocated handles an agent's answer to a lookup: the flows that its host
-// holds, those that it does not hold, and those for which the agent has to be
-// probed.
-func (d *Dispatcher) HandleLocated(now time.Time, from netip.Addr, held, denied, unsure []flow.Key, l packet.Load) (decisions []Decision) {
-	a := d.recordMessage(now, from, l)
-	for _, key := range held {
+// Located is an agent's answer to a lookup.
+type Located struct {
+	// Held are the flows that its host holds, Denied those that it does not hold, and
+	// Unsure those for which the agent has to be probed.
+	Held, Denied, Unsure []flow.Key
+	// Unseen are flows like Unsure that this run of the agent has not seen.
+	Unseen []flow.Key
+	// Run names the run of the agent; 0 means that it is not known.
+	Run  uint64
+	Load packet.Load
+}
+
+// HandleLocated handles an agent's answer to a lookup.
+func (d *Dispatcher) HandleLocated(now time.Time, from netip.Addr, l Located) (decisions []Decision) {
+	a := d.recordMessage(now, from, l.Load)
+	for _, key := range l.Held {
 		if e := d.flows.byKey[key]; e != nil && e.phase != phaseEstablished {
 			decisions = append(decisions, d.establish(e, from)...)
 		}
@@ -104,13 +139,13 @@
 	if a == nil {
 		return decisions
 	}
-	for _, key := range denied {
+	for _, key := range l.Denied {
 		if e := d.flows.byKey[key]; e != nil && e.phase == phaseSearching {
 			e.addDenial(now, a)
 			decisions = append(decisions, d.recordReply(now, e, a)...)
 		}
 	}
-	for _, key := range unsure {
+	for _, key := range l.Unsure {
 		e := d.flows.byKey[key]
 		if e == nil || e.phase != phaseSearching {
 			continue
@@ -120,7 +155,7 @@
 		}
 		decisions = append(decisions, d.recordReply(now, e, a)...)
 	}
-	return decisions
+	return append(decisions, d.addUnseen(now, a, l.Run, l.Unseen)...)
 }
 
 // recordReply records that an agent has answered a lookup for a flow, and continues
@@ -144,17 +179,25 @@
 	if reset := d.review(e, 0); reset != nil {
 		return reset
 	}
+	if !d.judgeUnseen(now, e) {
+		return nil
+	}
 	// A probe is dearer than a lookup of all agents, one of which may be sure.
 	if a := d.nextProbe(now, e); a != nil && e.scope != scopeLikely {
 		return d.probe(now, e, a)
 	}
-	if e.scope != scopeOthers {
+	if e.scope < scopeOthers {
 		e.scope++
 		return d.queueLookup(now, e)
 	}
 	if d.heldNowhere(now, e) {
 		return d.reset(e, e.acknowledgement, ReasonHeldNowhere)
 	}
+	if d.mayFindLater(now, e) {
+		e.probing, e.resumes = false, true
+		d.setDeadline(e, now.Add(searchRetryDelay))
+		return nil
+	}
 	buffered := d.flows.takeBuffered(e)
 	e.phase, e.probing, e.deadline, e.retryAt = phaseNotFound, false, time.Time{}, now.Add(searchRetryDelay)
 	if e.onlyCandidate = d.onlyCandidate(now, e); e.onlyCandidate == nil {
@@ -166,6 +209,32 @@
 	return d.forward(e, e.onlyCandidate.address, StepSearch, buffered[e.probesSentTo(e.onlyCandidate.address):]...)
 }
 
+// mayFindLater reports whether a search that has found no owner is to be continued
+// because the balancer has just started: agents that were not asked may hold the flow, or
+// it becomes clear that none does.
+func (d *Dispatcher) mayFindLater(now time.Time, e *flowEntry) bool {
+	if _, relayed := d.chooseUnknownRelay(e); relayed {
+		return false
+	}
+	return d.isStarting(now) && now.Before(e.searchUntil) && d.onlyCandidate(now, e) == nil
+}
+
+// resumeSearch asks the agents that have not denied the flow once more.
+func (d *Dispatcher) resumeSearch(now time.Time, e *flowEntry) (decisions []Decision) {
+	e.resumes, e.scope = false, scopeRoute
+	return d.queueLookup(now, e)
+}
+
+// resumeSearches makes the next Tick continue the searches that wait to ask again.
+func (d *Dispatcher) resumeSearches() {
+	for _, e := range d.deadlines {
+		if e.resumes && !e.deadline.IsZero() {
+			e.deadline = e.lastUsed
+			d.wakeBy(e.deadline)
+		}
+	}
+}
+
 // nextProbe returns the next agent to probe, or nil. Agents early in the rendezvous
 // order of the flow come first, because the host that the flow was placed at is
 // among them.
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -10,6 +10,7 @@
 
 	"agateramp/internal/core/flow"
 	"agateramp/internal/segment/packet"
+	"agateramp/internal/segment/routes"
 )
 
 // lookupAgents returns the agents that the decisions ask for a flow.
@@ -24,13 +25,13 @@
 
 // replyDenied handles the reply of an agent that its host does not hold a flow.
 func (b *testBalancer) replyDenied(agent netip.Addr, key flow.Key) []Decision {
-	return b.HandleLocated(b.now, agent, nil, []flow.Key{key}, nil, packet.Load{})
+	return b.HandleLocated(b.now, agent, Located{Denied: []flow.Key{key}})
 }
 
 // replyUnsure handles the reply of an agent that cannot tell whether its host holds a
 // flow.
 func (b *testBalancer) replyUnsure(agent netip.Addr, key flow.Key) []Decision {
-	return b.HandleLocated(b.now, agent, nil, nil, []flow.Key{key}, packet.Load{})
+	return b.HandleLocated(b.now, agent, Located{Unsure: []flow.Key{key}})
 }
 
 // nextRound returns the decisions of the next round of lookups.
@@ -59,7 +60,7 @@
 	b.advance(searchRetryDelay)
 	b.is.Equal(lookupAgents(b.HandlePacket(b.now, s), key), []netip.Addr{host(2)}) // the others have denied the flow
 	b.HandlePacket(b.now, s)
-	decisions = b.HandleLocated(b.now, host(2), []flow.Key{key}, nil, nil, packet.Load{})
+	decisions = b.HandleLocated(b.now, host(2), Located{Held: []flow.Key{key}})
 	b.is.Equal(len(decisions), 2) // the buffered packets
 	for _, d := range decisions {
 		f := d.(Forward)
@@ -259,6 +260,46 @@
 	b.is.Equal(len(lookupAgents(b.HandlePacket(b.now, s), key)), 3)
 }
 
+// Guards against callers that wait for each agent to be probed after a loss of power, and
+// against resets of flows that an earlier run of an agent may have delivered, or that are
+// being opened.
+func TestUnseenFlow(t *testing.T) {
+	s := segment(packet.ACK, 500, 6000)
+	key := s.KeyFromCaller()
+	const run, laterRun = 7, 8
+	unseen, unsure := Located{Unseen: []flow.Key{key}}, Located{Unsure: []flow.Key{key}}
+	cases := []struct {
+		name       string
+		allStarted bool
+		answer     Located
+		run        uint64
+		reset      bool
+	}{
+		{"everything has started anew", true, unseen, run, true},
+		{"the agent has restarted since", true, unseen, laterRun, false},
+		{"the run is not known", true, unseen, 0, false},
+		{"the host is answering the first packet", true, unsure, run, false},
+		{"something ran before", false, unseen, run, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer(t)
+			b.SetAgentListComplete(true)
+			b.HandleStatus(b.now, host(1), Status{Service: "studio", State: packet.HostReady, ColdRemaining: time.Second, Run: run})
+			b.agents[host(0)].startSeen, b.agents[host(2)].startSeen, b.agents[host(9)].startSeen = c.allStarted, c.allStarted, c.allStarted
+			b.UpdateStart(true, false)
+			b.HandlePacket(b.now, s)
+			b.replyDenied(host(0), key)
+			b.replyDenied(host(2), key)
+			c.answer.Run = c.run
+			b.HandleLocated(b.now, host(1), c.answer)
+			b.nextRound()
+			decisions := b.replyDenied(host(9), key)
+			b.is.Equal(len(decisions) == 1 && decisions[0] == Decision(Reset{Flow: key, Sequence: 6000, Reason: ReasonHeldNowhere}), c.reset)
+		})
+	}
+}
+
 // Guards against searches that buffer packets without bound.
 func TestBufferedPacketLimit(t *testing.T) {
 	b := newTestBalancer(t)
@@ -284,8 +325,8 @@
 	key := segment(0, 0, 0).KeyFromCaller()
 	other := packet.NewKey(caller, otherAddr)
 	keys := []flow.Key{key, other}
-	is.Equal(len(b.HandleLocated(b.now, host(1), keys, keys, keys, packet.Load{})), 0)
-	is.Equal(len(b.HandleLocated(b.now, host(77), nil, keys, keys, packet.Load{})), 0)
+	is.Equal(len(b.HandleLocated(b.now, host(1), Located{Held: keys, Denied: keys, Unsure: keys, Unseen: keys})), 0)
+	is.Equal(len(b.HandleLocated(b.now, host(77), Located{Denied: keys, Unsure: keys, Unseen: keys})), 0)
 	is.Equal(b.onlyForward(b.HandlePacket(b.now, segment(packet.ACK, 200, 6000))).Agent, owner)
 }
 
@@ -314,7 +355,7 @@
 		}
 	}
 	b.replyDenied(earlier, key)
-	decisions = b.HandleLocated(b.now, other, []flow.Key{key}, nil, nil, packet.Load{})
+	decisions = b.HandleLocated(b.now, other, Located{Held: []flow.Key{key}})
 	b.is.Equal(b.onlyForward(decisions).Agent, other)
 	b.is.Equal(b.onlyForward(b.HandlePacket(b.now, segment(packet.ACK, 1_000_301, 2_000_001_000))).Agent, other)
 }
@@ -327,7 +368,7 @@
 	b.AddAgents(b.now, []netip.Addr{host(5)})
 	s := segment(packet.ACK, 500, 6000)
 	b.HandlePacket(b.now, s)
-	b.onlyForward(b.HandleLocated(b.now, host(5), []flow.Key{s.KeyFromCaller()}, nil, nil, packet.Load{}))
+	b.onlyForward(b.HandleLocated(b.now, host(5), Located{Held: []flow.Key{s.KeyFromCaller()}}))
 	decisions := b.HandleReturned(b.now, host(5), s, packet.ReturnWrongService, packet.Load{})
 	b.is.Equal(decisions, []Decision{Drop{Flow: s.KeyFromCaller(), Reason: ReasonNoStatus}})
 
@@ -363,36 +404,65 @@
 	b.is.Equal(decisions[len(decisions)-1], Reset{Flow: s.KeyFromCaller(), Sequence: 6000, Reason: ReasonHeldNowhere})
 }
 
-// Guards against searches that ask all agents of a large service although few would do, and
-// against flows that are not found because only the likely agents were asked.
-func TestLikelyAgentsAreAskedFirst(t *testing.T) {
-	is := is.New(t)
-	const hosts = 40
-	withHosts := func() *testBalancer {
-		b := newTestBalancer(t)
-		for i := range hosts {
-			b.reportStatus(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), "studio", packet.HostReady)
-		}
-		return b
+// Guards against lookups that take all processor time of a small balancer while many flows
+// are searched for, and against a delay of single searches.
+func TestLookupRate(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		perSecond, searches int
+		// maxLookups bounds the lookups to four agents within a second.
+		minLookups, maxLookups int
+	}{
+		{"unbounded", 0, 1000, 350, 400},
+		{"many searches", 100, 1000, 100, 130},
+		{"few searches", 100, 5, 20, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer(t)
+			b.Dispatcher.lookups.perSecond = float64(c.perSecond)
+			lookups, longest := 0, time.Duration(0)
+			for i := range 1000 {
+				if i%(1000/c.searches) == 0 {
+					s := segment(packet.ACK, 101, 6000)
+					s.Source = netip.AddrPortFrom(caller.Addr(), uint16(i+1))
+					lookups += len(b.lookups(b.HandlePacket(b.now, s)))
+				}
+				if at, pending := b.NextTick(); pending {
+					longest = max(longest, at.Sub(b.now))
+				}
+				lookups += len(b.lookups(b.Tick(b.now)))
+				b.advance(time.Millisecond)
+			}
+			b.is.True(lookups >= c.minLookups)
+			b.is.True(lookups <= c.maxLookups)
+			b.is.True(longest <= 50*time.Millisecond)
+		})
 	}
-	found := 0
-	for port := range uint16(50) {
-		first, s := firstPacket(1000+port, studioAddr, 0), segment(packet.ACK, 101, 5001)
-		s.Source = first.Source
-		placed := withHosts()
-		owner := placed.onlyForward(placed.HandlePacket(placed.now, first)).Agent
+}
 
-		b := withHosts()
-		asked := lookupAgents(b.HandlePacket(b.now, s), s.KeyFromCaller())
-		is.Equal(len(asked), likelyCount)
-		if slices.Contains(asked, owner) {
-			found++
-		}
-		for _, a := range asked {
-			b.replyDenied(a, s.KeyFromCaller())
-		}
-		others := lookupAgents(b.nextRound(), s.KeyFromCaller())
-		is.Equal(len(others), hosts+3-likelyCount)
+// Guards against lost flows that wait for two rounds of lookups after a loss of power.
+func TestLostFlowsTakeOneRound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cold  time.Duration
+		later time.Duration
+		// first is the number of agents that are asked in the first round.
+		first int
+	}{
+		{"all hosts have just started", time.Second, 0, 4},
+		{"all hosts had just started, flows of before may come", time.Second, routes.DefaultIdleTimeout - time.Second, 4},
+		{"flows of before are idle for too long", time.Second, routes.DefaultIdleTimeout, 3},
+		{"hosts ran before", 0, 0, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newStartingBalancer(t)
+			b.SetRoutes(routeSet(t, 1, studioAddr, otherAddr))
+			b.SetListedAgents(b.now, []netip.Addr{host(0), host(1), host(2), host(3)})
+			for i, service := range []string{"studio", "studio", "studio", "archive"} {
+				b.HandleStatus(b.now, host(i), Status{Service: service, State: packet.HostReady, ColdRemaining: c.cold})
+			}
+			b.advance(c.later)
+			b.is.Equal(len(b.lookups(b.HandlePacket(b.now, segment(packet.ACK, 101, 6000)))), c.first)
+		})
 	}
-	is.Equal(found, 50)
 }
--- a/internal/segment/dispatch/queue_test.go
+++ b/internal/segment/dispatch/queue_test.go
@@ -233,32 +233,26 @@
 	b.is.Equal(len(b.AgentsWithoutStatus(b.now, 9)), 0)
 }
 
-// Guards against thousands of offers a second to full hosts, which cost small balancers
-// and agents the time for packets of open flows, and against a host that goes on getting
-// few offers once it has room again.
-func TestFewOffersToFullHosts(t *testing.T) {
-	b := newTestBalancer(t)
+// Guards against processor time that balancers spend on offers to hosts that many others
+// keep full, and against hosts that are left idle for it once they accept flows again.
+func TestFullHostIsOfferedLessOften(t *testing.T) {
+	b := newObjectiveBalancer(t)
+	b.reportStatus(host(1), "studio", packet.HostDraining)
+	b.reportStatus(host(2), "studio", packet.HostDraining)
 	s := firstPacket(1, studioAddr, 0)
 	b.queueAfterBusy(s)
-	offersWithin := func(d time.Duration) (offers int) {
-		for end := b.now.Add(d); b.now.Before(end); {
-			for decisions := b.tickAfter(5 * time.Millisecond); len(decisions) > 0; {
-				f, ok := decisions[0].(Forward)
-				if !ok {
-					break
-				}
-				offers++
-				decisions = b.HandleReturned(b.now, f.Agent, s, packet.ReturnBusy, packet.Load{})
-			}
+	var waits []time.Duration
+	for last := b.now; len(waits) < 4; b.advance(time.Millisecond) {
+		decisions := b.Tick(b.now)
+		if len(decisions) == 0 {
+			continue
 		}
-		return offers
+		waits, last = append(waits, b.now.Sub(last)), b.now
+		b.HandleReturned(b.now, b.onlyForward(decisions).Agent, s, packet.ReturnBusy, packet.Load{})
 	}
-	offers := offersWithin(time.Second)
-	b.is.True(offers >= 12) // each host is asked several times
-	b.is.True(offers <= 45) // 150 at a constant interval
-
-	for i := range 3 {
-		b.HandleAccepted(b.now, host(i), firstPacket(2, studioAddr, 0).KeyFromCaller(), 1, true, packet.Load{})
+	for i, doublings := range []int{0, 1, maxBackoffDoublings, maxBackoffDoublings} {
+		b.is.Equal(waits[i], fullBackoff<<doublings)
 	}
-	b.is.True(offersWithin(2*fullBackoff) >= 3)
+	b.HandleAccepted(b.now, host(0), firstPacket(2, studioAddr, 0).KeyFromCaller(), 5000, true, packet.Load{})
+	b.is.Equal(b.onlyForward(b.Tick(b.now)).Agent, host(0))
 }
--- a/internal/segment/dispatch/relayed.go
+++ b/internal/segment/dispatch/relayed.go
@@ -40,7 +40,7 @@
 		return reset
 	}
 	e.expireDenials(now)
-	d.beginSearch(e, s, scopeHolder)
+	d.beginSearch(now, e, s, scopeHolder)
 	e.unsureAgents = append(e.unsureAgents, a)
 	return d.continueSearch(now, e)
 }
@@ -76,9 +76,19 @@
 }
 
 // relayUnknown returns the decisions to relay packets of a flow that was not found, and nil
-// if no agent in a data centre that is cut off may hold it, or no other balancer reaches
-// that.
+// if there is no relay for them.
 func (d *Dispatcher) relayUnknown(e *flowEntry, packets ...[]byte) (decisions []Decision) {
+	balancer, ok := d.chooseUnknownRelay(e)
+	if !ok {
+		return nil
+	}
+	return d.relay(e, balancer, netip.Addr{}, packets...)
+}
+
+// chooseUnknownRelay returns the balancer that relays the packets of a flow whose host is
+// not known. ok is false if no agent in a data centre that is cut off may hold the flow, or
+// no balancer reaches that data centre.
+func (d *Dispatcher) chooseUnknownRelay(e *flowEntry) (balancer netip.Addr, ok bool) {
 	for _, name := range d.paths.CutOff() {
 		// The data centre of an agent that has sent no status is not known.
 		mayHold := func(a *agent) bool {
@@ -87,11 +97,11 @@
 		if !slices.ContainsFunc(d.agentList, mayHold) {
 			continue
 		}
-		if balancer, ok := d.chooseRelay(e, name); ok {
-			return d.relay(e, balancer, netip.Addr{}, packets...)
+		if balancer, ok = d.chooseRelay(e, name); ok {
+			return balancer, true
 		}
 	}
-	return nil
+	return netip.Addr{}, false
 }
 
 // chooseRelay returns the balancer that relays the packets of a flow to a data centre. ok
--- a/internal/segment/dispatch/replies.go
+++ b/internal/segment/dispatch/replies.go
@@ -16,7 +16,7 @@
 // packet; otherwise it is 0.
 func (d *Dispatcher) HandleAccepted(now time.Time, agent netip.Addr, key flow.Key, sequence uint32, handshake bool, l packet.Load) (placementTime time.Duration, decisions []Decision) {
 	if a := d.recordMessage(now, agent, l); a != nil && handshake {
-		a.busyInRow, a.lateBusyInRow = 0, 0
+		a.recordRoom()
 	}
 	e := d.flows.byKey[key]
 	if e == nil {
