--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -96,7 +97,7 @@
 // eligible reports whether the host may be offered new flows.
 func (d *Dispatcher) eligible(now time.Time, a *agent) bool {
 	return a.statusKnown && a.status.State == packet.HostReady && !a.status.Stopping && !a.evacuated &&
-		!d.silent(now, a) && a.unansweredOffers < maxUnansweredOffers
+		!d.unreachable(now, a) && a.unansweredOffers < maxUnansweredOffers
 }
 
 // joining reports whether other balancers may not know the agent yet. Agents that a
@@ -111,6 +112,11 @@
 	return float64(now.Sub(a.lastMessageAt)) > silentIntervals*float64(d.StatusInterval())
 }
 
+// unreachable reports whether the agent is silent or its data centre is cut off.
+func (d *Dispatcher) unreachable(now time.Time, a *agent) bool {
+	return d.silent(now, a) || d.paths.IsCutOff(a.status.DataCentre)
+}
+
 // isStarting reports whether the balancer was started and has no list of agents, or has
 // read the first one just before: agents may not have reported to it yet.
 func (d *Dispatcher) isStarting(now time.Time) bool {
@@ -164,10 +170,15 @@
 		a = &agent{address: address, addressHash: xxhash.Sum64(octets[:]), addedAt: now}
 		d.agents[address] = a
 		d.agentList = append(d.agentList, a)
+		i, _ := slices.BinarySearchFunc(d.pollOrder, a, compareHash)
+		d.pollOrder = slices.Insert(d.pollOrder, i, a)
 	}
 	return a
 }
 
+// compareHash orders agents by the hashes of their addresses.
+func compareHash(a, b *agent) int { return cmp.Compare(a.addressHash, b.addressHash) }
+
 // prune removes the agents that the store does not list and that have sent no
 // message for a while.
 func (d *Dispatcher) prune(now time.Time) {
@@ -183,6 +194,7 @@
 		delete(d.agents, a.address)
 		return true
 	})
+	d.pollOrder = slices.DeleteFunc(d.pollOrder, func(a *agent) bool { return d.agents[a.address] != a })
 }
 
 // HandleStatus records the status of an agent and adds the agent if it is unknown.
@@ -206,6 +218,7 @@
 		d.forgetSeenAll()
 	}
 	a.offersSinceReport, a.unansweredOffers = 0, 0
+	d.paths.RecordMessage(now, s.DataCentre)
 	return changed
 }
 
@@ -230,6 +243,13 @@
 	return s.agents
 }
 
+// RecordRequest records that an agent was asked for its status.
+func (d *Dispatcher) RecordRequest(now time.Time, address netip.Addr) {
+	if a := d.agents[address]; a != nil {
+		d.paths.RecordRequest(now, a.status.DataCentre)
+	}
+}
+
 // recordMessage records that an agent has sent a message, and the load in the message
 // unless its number of slots is 0. It returns the agent, or nil if the agent is unknown.
 func (d *Dispatcher) recordMessage(now time.Time, address netip.Addr, l packet.Load) *agent {
@@ -238,16 +258,17 @@
 		return nil
 	}
 	a.lastMessageAt, a.unansweredOffers = now, 0
+	d.paths.RecordMessage(now, a.status.DataCentre)
 	if l.Slots > 0 {
 		a.status.Load, a.offersSinceReport = l, 0
 	}
 	return a
 }
 
-// Agents returns the addresses of the known agents in the order in which they were
-// added.
+// Agents returns the addresses of the known agents in the order of their hashes, so that
+// each part of them is spread over the data centres.
 func (d *Dispatcher) Agents() (addresses []netip.Addr) {
-	for _, a := range d.agentList {
+	for _, a := range d.pollOrder {
 		addresses = append(addresses, a.address)
 	}
 	return addresses
--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -84,6 +84,9 @@
 	probing       bool
 	probesSent    []int
 	onlyCandidate *agent
+	// relayed is set if the last packets came from another balancer. They are not
+	// relayed again.
+	relayed bool
 	// buffered are copies of the packets that arrived during a search.
 	buffered [][]byte
 	// The search goes on until searchUntil, even if no agent can be asked. resumes is set
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -34,8 +34,14 @@
 type searchScope uint8
 
 const (
+	// scopeHolder contains the agent that another balancer named as the holder of a flow
+	// whose packets it relayed. It is probed without a lookup.
+	scopeHolder searchScope = iota
+	// scopeLikely contains the agents that the flow was most likely placed at. It is empty
+	// if the route has few agents.
+	scopeLikely
 	// scopeRoute contains the agents of the services that the flow's route names.
-	scopeRoute searchScope = iota
+	scopeRoute
 	// scopeOthers contains all other agents, because flows stay at their host when a
 	// configuration changes their route.
 	scopeOthers
@@ -69,11 +75,16 @@
 
 // startSearch begins a search for the host that holds a flow and buffers the packet.
 func (d *Dispatcher) startSearch(now time.Time, e *flowEntry, s *packet.Segment) (decisions []Decision) {
-	e.phase, e.scope, e.acknowledgement = phaseSearching, scopeRoute, s.Acknowledgement
-	e.owner, e.resumes, e.searchUntil = netip.Addr{}, false, now.Add(maxSearchTime)
+	d.beginSearch(now, e, s, scopeLikely)
+	return d.queueLookup(now, e)
+}
+
+// beginSearch puts a flow into phaseSearching and buffers the packet.
+func (d *Dispatcher) beginSearch(now time.Time, e *flowEntry, s *packet.Segment, scope searchScope) {
+	e.phase, e.scope, e.acknowledgement = phaseSearching, scope, s.Acknowledgement
+	e.owner, e.awaitedAgents, e.resumes, e.searchUntil = netip.Addr{}, nil, false, now.Add(maxSearchTime)
 	e.triedAgents, e.returnedOffers, e.unsureAgents, e.unseen, e.probesSent, e.answers, e.onlyCandidate = nil, 0, nil, nil, nil, nil, nil
 	d.flows.bufferPacket(e, s.Data)
-	return d.queueLookup(now, e)
 }
 
 // queueLookup adds a flow to the next round of lookups, and starts the round if it
@@ -92,6 +103,9 @@
 // flow.
 func (d *Dispatcher) candidates(now time.Time, e *flowEntry) (agents []*agent) {
 	e.expireDenials(now)
+	if e.scope == scopeLikely {
+		return d.likelyHolders(now, e)
+	}
 	tags := d.routeServiceTags(e)
 	for _, a := range d.agentList {
 		servesRoute := a.statusKnown && slices.Contains(tags, a.serviceTag)
@@ -168,11 +182,12 @@
 	if !d.judgeUnseen(now, e) {
 		return nil
 	}
-	if a := d.nextProbe(now, e); a != nil {
+	// A probe is dearer than a lookup of all agents, one of which may be sure.
+	if a := d.nextProbe(now, e); a != nil && e.scope != scopeLikely {
 		return d.probe(now, e, a)
 	}
-	if e.scope == scopeRoute {
-		e.scope = scopeOthers
+	if e.scope < scopeOthers {
+		e.scope++
 		return d.queueLookup(now, e)
 	}
 	if d.heldNowhere(now, e) {
@@ -186,6 +201,9 @@
 	buffered := d.flows.takeBuffered(e)
 	e.phase, e.probing, e.deadline, e.retryAt = phaseNotFound, false, time.Time{}, now.Add(searchRetryDelay)
 	if e.onlyCandidate = d.onlyCandidate(now, e); e.onlyCandidate == nil {
+		if relayed := d.relayUnknown(e, buffered...); relayed != nil {
+			return relayed
+		}
 		return []Decision{Drop{Flow: e.key, Reason: ReasonNotFound}}
 	}
 	return d.forward(e, e.onlyCandidate.address, StepSearch, buffered[e.probesSentTo(e.onlyCandidate.address):]...)
@@ -195,6 +213,9 @@
 // because the balancer has just started: agents that were not asked may hold the flow, or
 // it becomes clear that none does.
 func (d *Dispatcher) mayFindLater(now time.Time, e *flowEntry) bool {
+	if _, relayed := d.chooseUnknownRelay(e); relayed {
+		return false
+	}
 	return d.isStarting(now) && now.Before(e.searchUntil) && d.onlyCandidate(now, e) == nil
 }
 
