dispatch: Do not wait for agents that were lost with everything else

A balancer that finds everything started anew passes over agents that it was told of at its start and that have not answered for a second. TestAgentLostAtStart failed before. The circumstances of a start are logged as start_judged.

--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -138,6 +138,8 @@
 	// established one, that is, one that had run for a while.
 	startedAt      time.Time
 	agentsCompared bool
+	// startState names the circumstances of the start that were last logged.
+	startState string
 
 	// timerDueAt is when runTimer calls the dispatcher next.
 	timerDueAt time.Time
--- a/internal/segment/balancer/start.go
+++ b/internal/segment/balancer/start.go
@@ -1,6 +1,12 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"agateramp/internal/process/logging"
+)
 
 // isStarting reports whether the balancer started less than entryReturnDelay ago. Agents without an entry may not have
 // reported to it yet, and it cannot tell whether entries lapsed or were lost just before. b.mu must be held.
@@ -25,3 +31,15 @@
 func (b *Balancer) nothingSurvived(now time.Time) bool {
 	return b.isStarting(now) && !b.peers.AnyEstablished() && b.core.HostsJustStarted()
 }
+
+// updateStart decides on the circumstances of the balancer's start, and logs them if they have changed. b.mu must be held.
+func (b *Balancer) updateStart(now time.Time) {
+	established := b.peers.AnyEstablished()
+	state := b.core.UpdateStart(b.isStarting(now), established)
+	if state == b.startState {
+		return
+	}
+	b.startState = state
+	logging.Line(level.Info(b.config.Logger), "event", "start_judged", "state", state, "balancer_ran_before", established,
+		"agents_answering", b.core.AnsweringCount(now), "agents_known", len(b.core.Agents()))
+}
--- a/internal/segment/balancer/watch.go
+++ b/internal/segment/balancer/watch.go
@@ -155,7 +155,7 @@
 
 // updateListComplete passes agentsComplete to the dispatcher, which may have flows that wait for it. b.mu must be held.
 func (b *Balancer) updateListComplete(now time.Time) {
-	b.core.UpdateStart(b.isStarting(now), b.peers.AnyEstablished())
+	b.updateStart(now)
 	b.core.SetAgentListComplete(b.agentsComplete(now))
 	b.wakeTimer()
 }
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -280,13 +280,14 @@
 
 // heldNowhere reports whether no host can hold the flow: the list of agents is
 // complete, and all of them answer and have denied the flow, or said last that their
-// host is gone. The host of an agent that does not answer may hold it.
+// host is gone. The host of an agent that does not answer may hold it, unless it was lost
+// with everything else.
 func (d *Dispatcher) heldNowhere(now time.Time, e *flowEntry) bool {
 	if !d.agentListComplete || len(d.agentList) == 0 {
 		return false
 	}
 	for _, a := range d.agentList {
-		if a.statusKnown && a.status.State == packet.HostGone {
+		if a.statusKnown && a.status.State == packet.HostGone || d.lostAtStart(now, a) {
 			continue
 		}
 		if !a.statusKnown || d.silent(now, a) || !slices.Contains(e.deniedBy, a) {
--- a/internal/segment/dispatch/lookup_test.go
+++ b/internal/segment/dispatch/lookup_test.go
@@ -260,46 +260,6 @@
 	b.is.Equal(len(lookupAgents(b.HandlePacket(b.now, s), key)), 3)
 }
 
-// Guards against callers that wait for each agent to be probed after a loss of power, and
-// against resets of flows that an earlier run of an agent may have delivered, or that are
-// being opened.
-func TestUnseenFlow(t *testing.T) {
-	s := segment(packet.ACK, 500, 6000)
-	key := s.KeyFromCaller()
-	const run, laterRun = 7, 8
-	unseen, unsure := Located{Unseen: []flow.Key{key}}, Located{Unsure: []flow.Key{key}}
-	cases := []struct {
-		name       string
-		allStarted bool
-		answer     Located
-		run        uint64
-		reset      bool
-	}{
-		{"everything has started anew", true, unseen, run, true},
-		{"the agent has restarted since", true, unseen, laterRun, false},
-		{"the run is not known", true, unseen, 0, false},
-		{"the host is answering the first packet", true, unsure, run, false},
-		{"something ran before", false, unseen, run, false},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			b := newTestBalancer(t)
-			b.SetAgentListComplete(true)
-			b.HandleStatus(b.now, host(1), Status{Service: "studio", State: packet.HostReady, ColdRemaining: time.Second, Run: run})
-			b.agents[host(0)].startSeen, b.agents[host(2)].startSeen, b.agents[host(9)].startSeen = c.allStarted, c.allStarted, c.allStarted
-			b.UpdateStart(true, false)
-			b.HandlePacket(b.now, s)
-			b.replyDenied(host(0), key)
-			b.replyDenied(host(2), key)
-			c.answer.Run = c.run
-			b.HandleLocated(b.now, host(1), c.answer)
-			b.nextRound()
-			decisions := b.replyDenied(host(9), key)
-			b.is.Equal(len(decisions) == 1 && decisions[0] == Decision(Reset{Flow: key, Sequence: 6000, Reason: ReasonHeldNowhere}), c.reset)
-		})
-	}
-}
-
 // Guards against searches that buffer packets without bound.
 func TestBufferedPacketLimit(t *testing.T) {
 	b := newTestBalancer(t)
--- a/internal/segment/dispatch/start.go
+++ b/internal/segment/dispatch/start.go
@@ -28,15 +28,27 @@
 	startAmongOthers
 )
 
+// String returns the name of the state as it is logged.
+func (s startState) String() string {
+	names := [...]string{"pending", "anew", "among_others"}
+	return names[s]
+}
+
 // unseenReply is the answer of a run of an agent that it has not seen a flow.
 type unseenReply struct {
 	agent *agent
 	run   uint64
 }
 
-// UpdateStart decides on the circumstances of the balancer's start. starting is set
-// shortly after it, and established if another balancer ran before.
-func (d *Dispatcher) UpdateStart(starting, established bool) {
+// UpdateStart decides on the circumstances of the balancer's start, and returns their name
+// for logs. starting is set shortly after the start, and established if another balancer
+// ran before.
+func (d *Dispatcher) UpdateStart(starting, established bool) (state string) {
+	d.updateStart(starting, established)
+	return d.start.String()
+}
+
+func (d *Dispatcher) updateStart(starting, established bool) {
 	switch {
 	case d.start == startAmongOthers:
 	case slices.ContainsFunc(d.agentList, (*agent).ranBefore), d.start == startPending && (established || !starting):
@@ -65,6 +77,12 @@
 	return a.statusKnown && !a.startSeen && a.status.State != packet.HostGone && a.status.State != packet.HostUnknown
 }
 
+// lostAtStart reports whether an agent that the first list named has not come back after
+// everything has started anew. Its machine has lost power with the others.
+func (d *Dispatcher) lostAtStart(now time.Time, a *agent) bool {
+	return d.start == startAnew && !a.statusKnown && now.Sub(d.firstListedAt) > joinDelay && a.addedAt.Sub(d.firstListedAt) < joinDelay
+}
+
 // judgeUnseen turns the answers of agents that have not seen a flow into denials, if
 // those runs of the agents have seen all flows of their hosts, or else into agents that
 // have to be probed. It returns false if that is not known yet.
--- a/internal/segment/dispatch/start_test.go
+++ b/internal/segment/dispatch/start_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -165,3 +167,85 @@
 	}
 	return lookups
 }
+
+// Guards against callers that wait for each agent to be probed after a loss of power, and
+// against resets of flows that an earlier run of an agent may have delivered, or that are
+// being opened.
+func TestUnseenFlow(t *testing.T) {
+	s := segment(packet.ACK, 500, 6000)
+	key := s.KeyFromCaller()
+	const run, laterRun = 7, 8
+	unseen, unsure := Located{Unseen: []flow.Key{key}}, Located{Unsure: []flow.Key{key}}
+	cases := []struct {
+		name       string
+		allStarted bool
+		answer     Located
+		run        uint64
+		reset      bool
+	}{
+		{"everything has started anew", true, unseen, run, true},
+		{"the agent has restarted since", true, unseen, laterRun, false},
+		{"the run is not known", true, unseen, 0, false},
+		{"the host is answering the first packet", true, unsure, run, false},
+		{"something ran before", false, unseen, run, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer(t)
+			b.SetAgentListComplete(true)
+			b.HandleStatus(b.now, host(1), Status{Service: "studio", State: packet.HostReady, ColdRemaining: time.Second, Run: run})
+			b.agents[host(0)].startSeen, b.agents[host(2)].startSeen, b.agents[host(9)].startSeen = c.allStarted, c.allStarted, c.allStarted
+			b.UpdateStart(true, false)
+			b.HandlePacket(b.now, s)
+			b.replyDenied(host(0), key)
+			b.replyDenied(host(2), key)
+			c.answer.Run = c.run
+			b.HandleLocated(b.now, host(1), c.answer)
+			b.nextRound()
+			decisions := b.replyDenied(host(9), key)
+			b.is.Equal(len(decisions) == 1 && decisions[0] == Decision(Reset{Flow: key, Sequence: 6000, Reason: ReasonHeldNowhere}), c.reset)
+		})
+	}
+}
+
+// Guards against callers of lost flows that wait for an agent whose machine did not come
+// back after a loss of power, until its entry in the store has lapsed, and against resets
+// of flows that may be at an agent which has not answered yet.
+func TestAgentLostAtStart(t *testing.T) {
+	s := segment(packet.ACK, 500, 6000)
+	key := s.KeyFromCaller()
+	cases := []struct {
+		name  string
+		cold  time.Duration
+		wait  time.Duration
+		reset bool
+	}{
+		{"everything has started anew", time.Second, joinDelay + time.Millisecond, true},
+		{"agents may still be starting", time.Second, joinDelay / 2, false},
+		{"hosts ran before", 0, joinDelay + time.Millisecond, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newTestBalancer(t)
+			b.SetAgentListComplete(true)
+			b.SetListedAgents(b.now, []netip.Addr{host(0), host(1), host(2), host(9), host(20)}) // host 20 is lost
+			for i, tag := range map[int]string{0: "studio", 1: "studio", 2: "studio", 9: "archive"} {
+				b.HandleStatus(b.now, host(i), Status{Service: tag, State: packet.HostReady, ColdRemaining: c.cold, Run: 1})
+			}
+			b.UpdateStart(true, false)
+			b.advance(c.wait)
+			for i, tag := range map[int]string{0: "studio", 1: "studio", 2: "studio", 9: "archive"} {
+				b.HandleStatus(b.now, host(i), Status{Service: tag, State: packet.HostReady, Run: 1})
+			}
+			decisions := b.HandlePacket(b.now, s)
+			for range 3 {
+				for _, i := range []int{0, 1, 2, 9} {
+					decisions = append(decisions, b.replyDenied(host(i), key)...)
+				}
+				b.advance(searchTimeout)
+				decisions = append(decisions, b.Tick(b.now)...)
+			}
+			b.is.Equal(slices.Contains(decisions, Decision(Reset{Flow: key, Sequence: 6000, Reason: ReasonHeldNowhere})), c.reset)
+		})
+	}
+}
