hostedsoak: Run the hosted programs under drawn faults

This is the first state of one for the programs of the hosting platform: separate processes, stand-ins for the store, routers, hosts and callers, and link proxies.

--- /dev/null
+++ b/internal/cli/hostedsoak/process_test.go
@@ -0,0 +1,246 @@
+package hostedsoak
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// heartbeatInterval is how often hosts send heartbeats.
+const heartbeatInterval = 1200 * time.Millisecond
+
+// process is a process of the product on a machine, through all its runs.
+type process struct {
+	f                *fleet
+	name, role       string
+	dataCentre       string
+	address          netip.Addr
+	settings, output string
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+	boots int
+	// ending is set while the soak ends the process. stopped is set while it is suspended.
+	ending, stopped bool
+	// misses is the number of readiness polls in a row without success. everReady is set
+	// after the first success.
+	misses    int
+	everReady bool
+}
+
+// newProcess writes the settings of a process, which is not started yet. host are the
+// settings of the host beside it, if any.
+func (f *fleet) newProcess(name, role, dataCentre string, class uint16, address netip.Addr, host string) (p *process, err error) {
+	p = &process{f: f, name: name, role: role, dataCentre: dataCentre, address: address}
+	p.settings, p.output = filepath.Join(f.dir, name+".yaml"), filepath.Join(f.dir, name+".log")
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(address, port) }
+	var seeds strings.Builder
+	for i := range dataCentres {
+		fmt.Fprintf(&seeds, "  - %q\n", netip.AddrPortFrom(f.address(10+10*i), controlPort))
+	}
+	var places strings.Builder
+	for _, d := range dataCentres {
+		fmt.Fprintf(&places, "  %s: \"r\"\n", d)
+	}
+	text := fmt.Sprintf(`node_name: %q
+role: %q
+ip: %q
+zone: %q
+region: "r"
+zones:
+%slisten:
+  packet_addr: %q
+  ready_addr: %q
+  control: %q
+  outbound: %q
+port_range:
+  - %d
+  - %d
+seeds:
+%sbootstrap: true
+limits:
+  cpu_share: 0.5
+  cores: 1
+  memory_mb: 256
+heartbeat_ms: %d
+bounds:
+  stable_ms: %d
+  ack_ms: 5000
+  drain_ms: %d
+  grace_s: %d
+  config_apply_ms: %d
+  rollback_slack_ms: %d
+  evacuate_ms: %d
+  cold_excess: %v
+  cold_slack: %v
+  reorder_ms: %d
+  flow_ttl_s: %d
+hash: "steady"
+deploy_mode: "agent"
+platform:
+  address: %q
+  deploy_mode: "kv"
+%s`, name, role, address, dataCentre, &places, at(firstPacketPort+class), at(readinessPort), at(controlPort), at(outboundPort),
+		firstPeerPort+class, firstPeerPort+class, &seeds, heartbeatInterval.Milliseconds(), stableTime.Milliseconds(), drainTime.Milliseconds(),
+		int(graceTime.Seconds()), configTime.Milliseconds(), rollbackSlack.Milliseconds(), evacuationTime.Milliseconds(), coldExcess, coldSlack,
+		reorderTime.Milliseconds(), int(flowLifetime.Seconds()), at(storePort), host)
+	f.links.names[address], f.links.classes[address] = name, class
+	return p, os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// start starts a run of the process, unless one runs.
+func (p *process) start() (err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended != nil && !isClosed(p.ended) || p.f.tasks.Context().Err() != nil {
+		return nil
+	}
+	output, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer output.Close()
+	cmd := exec.Command(p.f.program, p.role, "--settings", p.settings, "--metrics-port", "0")
+	cmd.Stdout, cmd.Stderr = output, output
+	// The process must not outlive a test binary that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.boots++
+	p.f.checker.bootStarted(p.boot(), p.name)
+	if err = cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended, p.ending, p.stopped = cmd, ended, false, false
+	p.f.tasks.Go(p.name, func(context.Context) error {
+		err := cmd.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		close(ended)
+		if !p.ending {
+			p.f.checker.report(time.Now(), "END", "%s ended by itself: %v", p.boot(), err)
+		}
+		return nil
+	})
+	return nil
+}
+
+// boot names the current run.
+func (p *process) boot() string { return fmt.Sprintf("%s#%d", p.name, p.boots) }
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// signal sends a signal to the process if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended == nil || isClosed(p.ended) {
+		return
+	}
+	switch s {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		p.ending = true
+	case syscall.SIGSTOP:
+		p.stopped = true
+	case syscall.SIGCONT:
+		p.stopped = false
+	}
+	_ = p.cmd.Process.Signal(s)
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	if p.ended != nil {
+		<-p.ended
+	}
+}
+
+// terminate ends the process as planned. One that does not end in time is killed.
+func (p *process) terminate() {
+	p.signal(syscall.SIGTERM)
+	p.mu.Lock()
+	ended, cmd, stopped, boot := p.ended, p.cmd, p.stopped, p.boot()
+	p.mu.Unlock()
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+		if code := cmd.ProcessState.ExitCode(); code > 0 {
+			p.f.checker.report(time.Now(), "END", "%s exited with %d after SIGTERM", boot, code)
+		}
+	case <-time.After(graceTime):
+		if !stopped {
+			p.f.checker.report(time.Now(), "END", "%s did not end within %v of SIGTERM", boot, graceTime)
+		}
+		p.kill()
+	}
+}
+
+// poll asks the balancer whether it is ready, as the routers do.
+func (p *process) poll(client *http.Client) {
+	response, err := client.Get("http://" + netip.AddrPortFrom(p.address, readinessPort).String() + "/v1/readyz")
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil && response.StatusCode == http.StatusOK && p.f.links.get(callersName, p.name).dropped < 1 {
+		p.misses, p.everReady = 0, true
+		return
+	}
+	p.misses++
+}
+
+// inRotation reports whether routers send packets to the balancer.
+func (p *process) inRotation() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.misses < 2
+}
+
+// wasReady reports whether the balancer was ready once.
+func (p *process) wasReady() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.everReady
+}
+
+// currentBoot names the current run.
+func (p *process) currentBoot() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.boot()
+}
+
+// checkOutput reports what the logs of a process say of faults in the program.
+func (p *process) checkOutput() {
+	text, err := os.ReadFile(p.output)
+	for _, sign := range []string{"panic: ", "fatal error: ", "WARNING: DATA RACE"} {
+		if bytes.Contains(text, []byte(sign)) {
+			p.f.checker.report(time.Now(), "END", "%s logs %q", p.name, sign)
+		}
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		p.f.checker.report(time.Now(), "END", "log of %s: %v", p.name, err)
+	}
+}
--- /dev/null
+++ b/internal/cli/hostedsoak/soak_test.go
@@ -0,0 +1,161 @@
+package hostedsoak
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	soakFirst = flag.Int("soak.first", 1, "first seed of TestHostedSoak")
+	soakCount = flag.Int("soak.count", 2, "number of seeds of TestHostedSoak after the regression seeds")
+	soakRace  = flag.Bool("soak.race", false, "build the program with the race detector")
+)
+
+// hostedRegressionSeeds once broke a promise. A change of draw changes their scripts.
+var hostedRegressionSeeds = []int{}
+
+const (
+	// recoveredShare is the share of operations that must be served after the recovery.
+	recoveredShare = 0.25
+	// calmShare is the share from which the deployment counts as recovered early.
+	calmShare  = 0.9
+	calmWindow = time.Second
+	// overloadMargin is by how much the share of served operations of a class may be below
+	// that of a lower priority, for the chance in some hundred operations. Fewer than
+	// overloadOwed operations say nothing.
+	overloadMargin = 0.05
+	overloadOwed   = 50
+)
+
+// Guards against broken promises of the programs of the hosting platform under faults in
+// series that overlap: they run as separate processes that are killed, suspended and
+// restarted, their links and the store fail, hosts come and go, configurations change, data
+// centres are evacuated and callers ask for more than the hosts take.
+func TestHostedSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the soak starts processes")
+	}
+	program := buildProgram(t, *soakRace)
+	seeds := append([]int(nil), hostedRegressionSeeds...)
+	for i := range *soakCount {
+		seeds = append(seeds, *soakFirst+i)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soakSeed(t, seed, program) })
+	}
+}
+
+// soakSeed plays the script of a seed. The logs of a failed one are kept.
+func soakSeed(t *testing.T, seed int, program string) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("hosted-soak-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := newFleet(dir, program)
+	stopped := false
+	stop := func(gracefully bool) {
+		if !stopped {
+			stopped = true
+			f.stop(gracefully)
+		}
+	}
+	defer stop(false)
+	if err == nil {
+		err = f.start()
+	}
+	if err != nil {
+		t.Fatalf("%v; logs are in %s", err, dir)
+	}
+	f.callers.setFactor(1)
+	f.callers.start()
+	time.Sleep(calmWindow)
+	f.play(draw(seed))
+	f.recover()
+	f.callers.setFactor(0)
+	f.checkOverloads()
+	stop(true)
+	f.note("%s", f.summary())
+	t.Logf("seed %d: %s", seed, f.summary())
+	for _, v := range f.checker.violations {
+		f.note("VIOLATION %s", v)
+		t.Error(v)
+	}
+	if t.Failed() {
+		t.Logf("logs are in %s", dir)
+		return
+	}
+	_ = os.RemoveAll(dir)
+}
+
+// recover waits until callers are served again, and checks that it is in time.
+func (f *fleet) recover() {
+	healed := time.Now()
+	for time.Since(healed) < recoveryTime {
+		time.Sleep(calmWindow / 2)
+		now := time.Now()
+		// Operations that began within the last half second may still be served.
+		if share, owed := f.callers.served(nil, now.Add(-calmWindow), now.Add(-calmWindow/2)); owed > 0 && share >= calmShare {
+			break
+		}
+	}
+	from := time.Now()
+	f.note("recovered after %v", from.Sub(healed))
+	time.Sleep(2 * calmWindow)
+	share, owed := f.callers.served(nil, from, from.Add(calmWindow))
+	if owed > 0 && share < recoveredShare {
+		f.checker.report(time.Now(), "RECOVER", "%.2f of %d operations were served %v after the last fault", share, owed, from.Sub(healed))
+	}
+}
+
+// checkOverloads compares the priorities of a service in each time of overload.
+func (f *fleet) checkOverloads() {
+	for _, s := range f.overloads {
+		var text []string
+		for i, high := range classes {
+			share, owed := f.callers.served(high, s.from, s.to)
+			text = append(text, fmt.Sprintf("%s %.2f of %d", high.name, share, owed))
+			for _, low := range classes[i+1:] {
+				other, otherOwed := f.callers.served(low, s.from, s.to)
+				if high.service == low.service && owed >= overloadOwed && otherOwed >= overloadOwed && share < other-overloadMargin {
+					f.checker.mu.Lock()
+					f.checker.overload(time.Now(), "%s got %.2f of %d, %s with a lower priority %.2f of %d", high.name, share, owed, low.name, other, otherOwed)
+					f.checker.mu.Unlock()
+				}
+			}
+		}
+		f.note("overload of %v: served %s", s.to.Sub(s.from), strings.Join(text, ", "))
+	}
+}
+
+// note appends a line to the record of the soak.
+func (f *fleet) note(format string, args ...any) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	file, err := os.OpenFile(filepath.Join(f.dir, "soak.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	defer file.Close()
+	fmt.Fprintf(file, "%s %8.3f %s\n", now.Format("15:04:05.000"), now.Sub(f.checker.startedAt).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// summary returns what callers got and what was counted.
+func (f *fleet) summary() string {
+	var parts []string
+	for _, k := range classes {
+		share, owed := f.callers.served(k, time.Time{}, time.Now())
+		parts = append(parts, fmt.Sprintf("%s %.3f of %d", k.name, share, owed))
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.checker.counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d", name, f.checker.counts[name]))
+	}
+	return strings.Join(parts, ", ")
+}
