hostedsoak: Reassign hosts and check the routes at the end

Machines go to the other service, settings are reloaded, and every balancer must serve all routes once the faults are over.

--- a/internal/cli/hostedsoak/caller_test.go
+++ b/internal/cli/hostedsoak/caller_test.go
@@ -400,14 +400,27 @@
 }
 
 // check opens a flow to a route at each balancer in rotation and closes it again.
-func (c *callers) check(now time.Time, route netip.AddrPort) {
+func (c *callers) check(now time.Time, route netip.AddrPort) (flows []*callerFlow) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, b := range c.f.balancers {
 		if b.inRotation() {
-			c.openFlow(now, c.addresses[rand.IntN(len(c.addresses))], route, nil, b)
+			flows = append(flows, c.openFlow(now, c.addresses[rand.IntN(len(c.addresses))], route, nil, b))
 		}
 	}
+	return flows
+}
+
+// unopened names the flows that did not open.
+func (c *callers) unopened(flows []*callerFlow) (names string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, fl := range flows {
+		if !fl.open {
+			names += fmt.Sprintf("%s at %s, ", fl.remote, fl.direct.name)
+		}
+	}
+	return names
 }
 
 // setFactor multiplies the rates from now on.
--- a/internal/cli/hostedsoak/checker_test.go
+++ b/internal/cli/hostedsoak/checker_test.go
@@ -349,6 +349,10 @@
 	sent := f.copies[copyNumber]
 	balancer := c.boots[sent.boot].machine
 	inTouch := c.calm(now, false, balancer, h.machine)
+	c.counts["taken"]++
+	if inTouch {
+		c.counts["taken in touch"]++
+	}
 	if !h.drainAckedAt.IsZero() && now.Sub(h.drainAckedAt) > drainTime && inTouch {
 		c.fail(now, "DRAIN", "host %s took flow %s through %s %v after its drain was acknowledged", id, flow, sent.boot, now.Sub(h.drainAckedAt))
 	}
--- a/internal/cli/hostedsoak/faults_test.go
+++ b/internal/cli/hostedsoak/faults_test.go
@@ -56,10 +56,15 @@
 		{"suspend balancer", "balancer", 2, balancerCount, func(f *fleet, s step) func() { return f.suspendProcess(f.balancers[s.target]) }},
 		{"kill agent", "agent", 2, machineCount, func(f *fleet, s step) func() { return f.killProcess(f.machines[s.target].agent) }},
 		{"terminate agent", "agent", 3, machineCount, func(f *fleet, s step) func() { return f.terminateProcess(f.machines[s.target].agent) }},
+		{"reload settings", "reload", 1, balancerCount + machineCount, func(f *fleet, s step) func() {
+			f.processes()[s.target].signal(syscall.SIGHUP)
+			return func() {}
+		}},
 		{"suspend agent", "agent", 1, machineCount, func(f *fleet, s step) func() { return f.suspendProcess(f.machines[s.target].agent) }},
 		{"crash host", "host", 2, machineCount, beginCrash},
 		{"drain host", "host", 2, machineCount, beginDrain},
 		{"hang host", "host", 1, machineCount, beginHang},
+		{"reassign host", "host", 1, machineCount, beginReassign},
 		{"power off machine", "host", 1, machineCount, beginPowerOff},
 		{"cut machine from store", "store link", 2, balancerCount + machineCount, beginStoreLink},
 		{"cut machine off", "link", 2, balancerCount + machineCount, beginMachineLink},
@@ -205,6 +210,27 @@
 	return f.disrupt(true, func() { f.startHost(m, "") }, m.agent.name)
 }
 
+// beginReassign gives a machine to the other service: its host leaves as planned, its agent
+// follows, and both start again.
+func beginReassign(f *fleet, s step) (end func()) {
+	m := f.machines[s.target]
+	if h := m.current(); h != nil {
+		h.drain(0)
+	}
+	end = f.disrupt(true, func() {
+		f.restart(m.agent)
+		f.startHost(m, "")
+	}, m.agent.name)
+	m.agent.terminate()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.service = map[string]string{studio: archive, archive: studio}[m.service]
+	if err := m.agent.writeSettings(m.service); err != nil {
+		f.checker.report(time.Now(), "SOAK", "settings of %s: %v", m.agent.name, err)
+	}
+	return end
+}
+
 func beginHang(f *fleet, s step) (end func()) {
 	h := f.machines[s.target].current()
 	if h == nil {
--- a/internal/cli/hostedsoak/fleet_test.go
+++ b/internal/cli/hostedsoak/fleet_test.go
@@ -158,8 +158,7 @@
 	}
 	for n, service := range hostServices {
 		address := f.address(50 + 10*i + n)
-		host := fmt.Sprintf("service: %q\napp: %q\n", service, netip.AddrPortFrom(address, hostPort))
-		p, err := f.newProcess(fmt.Sprintf("agent-%s-%d", dc, n), "agent", dc, agentClass, address, host)
+		p, err := f.newProcess(fmt.Sprintf("agent-%s-%d", dc, n), "agent", dc, agentClass, address, service)
 		if err != nil {
 			return err
 		}
@@ -264,6 +263,11 @@
 
 // start starts all processes and hosts, and waits until callers can be served.
 func (f *fleet) start() (err error) {
+	var names []string
+	for _, p := range f.processes() {
+		names = append(names, p.name)
+	}
+	defer f.disrupt(true, func() {}, names...)()
 	for _, p := range f.processes() {
 		if err = p.start(); err != nil {
 			return err
--- a/internal/cli/hostedsoak/host_test.go
+++ b/internal/cli/hostedsoak/host_test.go
@@ -31,24 +31,24 @@
 
 // machine is where a host and the agent beside it run.
 type machine struct {
-	f       *fleet
-	service string
-	agent   *process
+	f     *fleet
+	agent *process
 
 	// mu guards the fields below.
-	mu   sync.Mutex
-	host *host
+	mu      sync.Mutex
+	service string
+	host    *host
 }
 
 // host is one start of a host.
 type host struct {
 	m *machine
 	// record names the start, id the host in its heartbeats.
-	record, id string
-	born       int64
-	conn       *net.UDPConn
-	listener   net.Listener
-	ended      chan struct{}
+	record, id, service string
+	born                int64
+	conn                *net.UDPConn
+	listener            net.Listener
+	ended               chan struct{}
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -89,7 +89,7 @@
 	}
 	now := time.Now()
 	h := &host{
-		m: m, id: id, record: fmt.Sprintf("%s/%s@%d", m.agent.name, id, now.UnixMilli()), born: now.UnixMilli(), ended: make(chan struct{}),
+		m: m, id: id, service: m.service, record: fmt.Sprintf("%s/%s@%d", m.agent.name, id, now.UnixMilli()), born: now.UnixMilli(), ended: make(chan struct{}),
 		flows: make(map[netip.AddrPort]*hostFlow), closedFlows: make(map[netip.AddrPort]bool), coldUntil: now.Add(cold),
 	}
 	app := netip.AddrPortFrom(m.agent.address, hostPort)
@@ -142,12 +142,12 @@
 	h.hung = hung
 }
 
-// cool makes the host cold.
+// cool makes the host cold, which it says at once.
 func (h *host) cool(until time.Time) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.coldUntil = until
-	h.m.f.checker.hostCold(h.record, until, coldRate)
+	h.mu.Unlock()
+	h.sendHeartbeat(http.MethodPut)
 }
 
 // drain announces that the host leaves, goes on for as long as it must, and ends.
@@ -194,12 +194,12 @@
 func (h *host) sendHeartbeat(method string) {
 	h.mu.Lock()
 	h.sequence++
-	state, draining := "ready", h.draining
+	state, draining, coldUntil := "ready", h.draining, h.coldUntil
 	if draining {
 		state = "draining"
 	}
 	body := fmt.Sprintf(`{"service":%q,"address":"%s:%d","zone":%q,"version":"v1","capacity":%d,"state":%q,"cold_left_ms":%d,"seq":%d,"born":%d}`,
-		h.m.service, h.m.agent.address, hostPort, h.m.agent.dataCentre, hostSlots, state, max(time.Until(h.coldUntil).Milliseconds(), 0), h.sequence, h.born)
+		h.service, h.m.agent.address, hostPort, h.m.agent.dataCentre, hostSlots, state, max(time.Until(coldUntil).Milliseconds(), 0), h.sequence, h.born)
 	h.mu.Unlock()
 	url := fmt.Sprintf("http://%s/v1/instances/%s", netip.AddrPortFrom(h.m.agent.address, controlPort), h.id)
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
@@ -215,6 +215,7 @@
 		h.m.f.checker.report(time.Now(), "ACK", "agent %s answered %d to a heartbeat of %s", h.m.agent.name, response.StatusCode, h.record)
 		return
 	}
+	h.m.f.checker.hostCold(h.record, coldUntil, coldRate)
 	if draining {
 		h.m.f.checker.hostDrains(time.Now(), h.record)
 		h.mu.Lock()
--- a/internal/cli/hostedsoak/process_test.go
+++ b/internal/cli/hostedsoak/process_test.go
@@ -24,6 +24,7 @@
 	f                *fleet
 	name, role       string
 	dataCentre       string
+	class            uint16
 	address          netip.Addr
 	settings, output string
 
@@ -40,15 +41,21 @@
 	everReady bool
 }
 
-// newProcess writes the settings of a process, which is not started yet. host are the
-// settings of the host beside it, if any.
-func (f *fleet) newProcess(name, role, dataCentre string, class uint16, address netip.Addr, host string) (p *process, err error) {
-	p = &process{f: f, name: name, role: role, dataCentre: dataCentre, address: address}
+// newProcess writes the settings of a process, which is not started yet. service is that of
+// the host beside it, or empty.
+func (f *fleet) newProcess(name, role, dataCentre string, class uint16, address netip.Addr, service string) (p *process, err error) {
+	p = &process{f: f, name: name, role: role, dataCentre: dataCentre, class: class, address: address}
 	p.settings, p.output = filepath.Join(f.dir, name+".yaml"), filepath.Join(f.dir, name+".log")
-	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(address, port) }
+	f.links.names[address], f.links.classes[address] = name, class
+	return p, p.writeSettings(service)
+}
+
+// writeSettings writes the settings for the next run.
+func (p *process) writeSettings(service string) (err error) {
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(p.address, port) }
 	var seeds strings.Builder
 	for i := range dataCentres {
-		fmt.Fprintf(&seeds, "  - %q\n", netip.AddrPortFrom(f.address(10+10*i), controlPort))
+		fmt.Fprintf(&seeds, "  - %q\n", netip.AddrPortFrom(p.f.address(10+10*i), controlPort))
 	}
 	var places strings.Builder
 	for _, d := range dataCentres {
@@ -92,12 +99,13 @@
 platform:
   address: %q
   deploy_mode: "kv"
-%s`, name, role, address, dataCentre, &places, at(firstPacketPort+class), at(readinessPort), at(controlPort), at(outboundPort),
-		firstPeerPort+class, firstPeerPort+class, &seeds, heartbeatInterval.Milliseconds(), stableTime.Milliseconds(), drainTime.Milliseconds(),
+service: %q
+app: %q
+`, p.name, p.role, p.address, p.dataCentre, &places, at(firstPacketPort+p.class), at(readinessPort), at(controlPort), at(outboundPort),
+		firstPeerPort+p.class, firstPeerPort+p.class, &seeds, heartbeatInterval.Milliseconds(), stableTime.Milliseconds(), drainTime.Milliseconds(),
 		int(graceTime.Seconds()), configTime.Milliseconds(), rollbackSlack.Milliseconds(), evacuationTime.Milliseconds(), coldExcess, coldSlack,
-		reorderTime.Milliseconds(), int(flowLifetime.Seconds()), at(storePort), host)
-	f.links.names[address], f.links.classes[address] = name, class
-	return p, os.WriteFile(p.settings, []byte(text), 0o600)
+		reorderTime.Milliseconds(), int(flowLifetime.Seconds()), at(storePort), service, at(hostPort))
+	return os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
 // start starts a run of the process, unless one runs.
--- a/internal/cli/hostedsoak/soak_test.go
+++ b/internal/cli/hostedsoak/soak_test.go
@@ -27,6 +27,8 @@
 	// calmShare is the share from which the deployment counts as recovered early.
 	calmShare  = 0.9
 	calmWindow = time.Second
+	// routeTries is how often a route is tried that is not served.
+	routeTries = 3
 	// overloadMargin is by how much the share of served operations of a class may be below
 	// that of a lower priority, for the chance in some hundred operations. Fewer than
 	// overloadOwed operations say nothing.
@@ -78,6 +80,7 @@
 	time.Sleep(calmWindow)
 	f.play(draw(seed))
 	f.recover()
+	f.checkRoutes()
 	f.callers.setFactor(0)
 	f.checkOverloads()
 	stop(true)
@@ -114,6 +117,26 @@
 	}
 }
 
+// checkRoutes checks that each balancer serves all routes of the configuration in force.
+func (f *fleet) checkRoutes() {
+	f.mu.Lock()
+	routes := slices.Collect(maps.Keys(f.routes))
+	f.mu.Unlock()
+	var missing string
+	for range routeTries {
+		var flows []*callerFlow
+		for _, route := range routes {
+			flows = append(flows, f.callers.check(time.Now(), route)...)
+		}
+		time.Sleep(openTimeout)
+		missing = f.callers.unopened(flows)
+		if missing == "" {
+			return
+		}
+	}
+	f.checker.report(time.Now(), "CONFIG", "not served at the end: %s", missing)
+}
+
 // checkOverloads compares the priorities of a service in each time of overload.
 func (f *fleet) checkOverloads() {
 	for _, s := range f.overloads {
