--- a/internal/cli/hostedsoak/caller_test.go
+++ b/internal/cli/hostedsoak/caller_test.go
@@ -302,6 +302,7 @@
 		return
 	case distance > resetWindow || distance < -resetWindow:
 		c.f.checker.count("resets out of the window")
+		c.f.note("flow %s got a reset %d out of the window from %s, open for %v", fl.local, distance, sender, now.Sub(fl.startedAt))
 		return
 	case fl.fins == 0:
 		c.f.checker.reset(now, fl.local, sender)
--- a/internal/cli/hostedsoak/faults_test.go
+++ b/internal/cli/hostedsoak/faults_test.go
@@ -236,13 +236,18 @@
 		f.restart(m.agent)
 		f.startHost(m, "")
 	}, m.agent.name)
-	m.agent.terminate()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.service = map[string]string{studio: archive, archive: studio}[m.service]
-	if err := m.agent.writeSettings(m.service); err != nil {
+	err := m.agent.writeSettings(m.service)
+	m.mu.Unlock()
+	if err != nil {
 		f.checker.report(time.Now(), "SOAK", "settings of %s: %v", m.agent.name, err)
 	}
+	if h := m.current(); h != nil {
+		// Another fault has started a host of the old service meanwhile.
+		h.crash()
+	}
+	m.agent.terminate()
 	return end
 }
 
--- a/internal/cli/hostedsoak/fleet_test.go
+++ b/internal/cli/hostedsoak/fleet_test.go
@@ -63,6 +63,8 @@
 	evacuated map[string]bool
 	// overloads are the times of overload.
 	overloads []span
+	// report is what callers got under overload.
+	report string
 }
 
 // buildProgram builds the program of the deployment.
--- a/internal/cli/hostedsoak/process_test.go
+++ b/internal/cli/hostedsoak/process_test.go
@@ -147,8 +147,11 @@
 // kill ends the process at once.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
-	if p.ended != nil {
-		<-p.ended
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended != nil {
+		<-ended
 	}
 }
 
--- a/internal/cli/hostedsoak/soak_test.go
+++ b/internal/cli/hostedsoak/soak_test.go
@@ -134,7 +134,8 @@
 	f.checker.report(time.Now(), "CONFIG", "not served at the end: %s", missing)
 }
 
-// checkOverloads compares the priorities of a service in each time of overload.
+// checkOverloads compares the priorities of a service in each time of overload, and reports
+// what callers got.
 func (f *fleet) checkOverloads() {
 	for _, s := range f.overloads {
 		var text []string
@@ -145,7 +146,7 @@
 				f.checker.prioritised(time.Now(), high, f.callers.served(low, s.from, s.to))
 			}
 		}
-		f.note("overload of %v: served %s", s.to.Sub(s.from), strings.Join(text, ", "))
+		f.report += fmt.Sprintf("; in %v of overload %s", s.to.Sub(s.from).Round(time.Millisecond), strings.Join(text, ", "))
 	}
 }
 
@@ -172,5 +173,5 @@
 	for _, name := range slices.Sorted(maps.Keys(f.checker.counts)) {
 		parts = append(parts, fmt.Sprintf("%s %d", name, f.checker.counts[name]))
 	}
-	return strings.Join(parts, ", ")
+	return strings.Join(parts, ", ") + f.report
 }
