--- a/internal/cli/hostedsoak/checker_test.go
+++ b/internal/cli/hostedsoak/checker_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 )
@@ -90,7 +91,11 @@
 	taken     []takenSYN
 }
 
-type takenSYN struct{ sentAt, at time.Time }
+// takenSYN is an opening packet that a host took.
+type takenSYN struct {
+	flow       netip.AddrPort
+	sentAt, at time.Time
+}
 
 // checker checks the promises of the product in what callers, hosts and the operator
 // report. Times are passed in. It is safe for concurrent use.
@@ -408,15 +413,15 @@
 	if !now.Before(h.coldUntil) {
 		return
 	}
-	h.taken = append(h.taken, takenSYN{sent.at, now})
-	count := 0
+	h.taken = append(h.taken, takenSYN{flow, sent.at, now})
+	var within []string
 	for _, t := range h.taken {
 		if earliest := now.Add(-time.Second); t.at.After(earliest) && t.sentAt.After(earliest) {
-			count++
+			within = append(within, fmt.Sprintf("%s sent %v, taken %v before", t.flow, now.Sub(t.sentAt), now.Sub(t.at)))
 		}
 	}
-	if limit := int(math.Floor(h.coldRate*coldExcess + coldSlack)); count > limit {
-		c.fail(now, "FAILBACK", "cold host %s took %d flows within a second, at most %d allowed, the last one %s", h.id, count, limit, flow)
+	if limit := int(math.Floor(h.coldRate*coldExcess + coldSlack)); len(within) > limit {
+		c.fail(now, "FAILBACK", "cold host %s took %d flows within a second, at most %d allowed: %s", h.id, len(within), limit, strings.Join(within, "; "))
 	}
 }
 
--- a/internal/cli/hostedsoak/host_test.go
+++ b/internal/cli/hostedsoak/host_test.go
@@ -93,7 +93,13 @@
 		flows: make(map[netip.AddrPort]*hostFlow), closedFlows: make(map[netip.AddrPort]bool), coldUntil: now.Add(cold),
 	}
 	app := netip.AddrPortFrom(m.agent.address, hostPort)
-	if h.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(app)); err != nil {
+	for deadline := now.Add(time.Second); ; time.Sleep(time.Millisecond) {
+		// The socket of the start before may still be closing.
+		if h.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(app)); !isInUse(err) || time.Now().After(deadline) {
+			break
+		}
+	}
+	if err != nil {
 		return err
 	}
 	if h.listener, err = net.Listen("tcp4", app.String()); err != nil {
--- a/internal/cli/hostedsoak/links_test.go
+++ b/internal/cli/hostedsoak/links_test.go
@@ -34,7 +34,8 @@
 type link struct {
 	// dropped is the share of datagrams that is lost; 1 also holds streams.
 	dropped float64
-	delay   time.Duration
+	// delay is the longest delay of a datagram, which differs for each, and that of streams.
+	delay time.Duration
 }
 
 // links are the proxies between the processes.
@@ -77,14 +78,14 @@
 	return l.state[[2]string{from, to}]
 }
 
-// pass calls send unless the link drops the datagram, after the delay of the link.
+// pass calls send unless the link drops the datagram, at once or after a delay.
 func (l *links) pass(from, to string, raw []byte, send func(raw []byte)) {
 	state := l.get(from, to)
 	switch {
 	case state.dropped > 0 && rand.Float64() < state.dropped:
 	case state.delay > 0:
 		kept := append([]byte(nil), raw...)
-		time.AfterFunc(state.delay, func() { send(kept) })
+		time.AfterFunc(rand.N(state.delay), func() { send(kept) })
 	default:
 		send(raw)
 	}
--- a/internal/cli/hostedsoak/soak_test.go
+++ b/internal/cli/hostedsoak/soak_test.go
@@ -15,6 +15,7 @@
 var (
 	soakFirst = flag.Int("soak.first", 1, "first seed of TestHostedSoak")
 	soakCount = flag.Int("soak.count", 2, "number of seeds of TestHostedSoak after the regression seeds")
+	soakKeep  = flag.Bool("soak.keep", false, "keep the logs of seeds that pass, too")
 	soakRace  = flag.Bool("soak.race", false, "build the program with the race detector")
 )
 
@@ -90,7 +91,7 @@
 		f.note("VIOLATION %s", v)
 		t.Error(v)
 	}
-	if t.Failed() {
+	if t.Failed() || *soakKeep {
 		t.Logf("logs are in %s", dir)
 		return
 	}
