--- a/internal/cli/hostedsoak/checker_test.go
+++ b/internal/cli/hostedsoak/checker_test.go
@@ -415,8 +415,11 @@
 	}
 	h.taken = append(h.taken, takenSYN{flow, sent.at, now})
 	var within []string
+	seen := make(map[netip.AddrPort]bool)
 	for _, t := range h.taken {
-		if earliest := now.Add(-time.Second); t.at.After(earliest) && t.sentAt.After(earliest) {
+		// A flow is one request, also if its host took two copies of the opening packet.
+		if earliest := now.Add(-time.Second); t.at.After(earliest) && t.sentAt.After(earliest) && !seen[t.flow] {
+			seen[t.flow] = true
 			within = append(within, fmt.Sprintf("%s sent %v, taken %v before", t.flow, now.Sub(t.sentAt), now.Sub(t.at)))
 		}
 	}
--- a/internal/cli/hostedsoak/mutation_test.go
+++ b/internal/cli/hostedsoak/mutation_test.go
@@ -165,6 +165,11 @@
 			r.wait(time.Second)
 			r.takes(rigOther, port(8), rigRoute)
 		}},
+		{"cold host takes copies", "", func(r *rig) {
+			for range 9 {
+				r.takes(rigOther, port(1), rigRoute)
+			}
+		}},
 		{"cold host beyond its limit", "FAILBACK", func(r *rig) {
 			for i := range 9 {
 				r.takes(rigOther, port(i), rigRoute)
