--- a/internal/cli/hostedsoak/checker_test.go
+++ b/internal/cli/hostedsoak/checker_test.go
@@ -11,19 +11,23 @@
 
 // The bounds of the platform, which the settings of the processes also hold.
 const (
-	stableTime      = 4 * time.Second
-	drainTime       = 3 * time.Second
-	configTime      = 3 * time.Second
-	rollbackSlack   = 250 * time.Millisecond
-	evacuationTime  = 5 * time.Second
-	recoveryTime    = 12 * time.Second
-	reorderTime     = 2 * time.Second
-	graceTime       = 6 * time.Second
-	flowLifetime    = 60 * time.Second
-	idleTimeout     = 15 * time.Second
-	coldExcess      = 1.5
-	coldSlack       = 5
-	slowedSlackGrow = 8
+	stableTime     = 4 * time.Second
+	drainTime      = 3 * time.Second
+	configTime     = 3 * time.Second
+	rollbackSlack  = 250 * time.Millisecond
+	evacuationTime = 5 * time.Second
+	recoveryTime   = 12 * time.Second
+	reorderTime    = 2 * time.Second
+	graceTime      = 6 * time.Second
+	flowLifetime   = 60 * time.Second
+	idleTimeout    = 15 * time.Second
+	coldExcess     = 1.5
+	coldSlack      = 5
+	// slowedFactor is by how much rollbackSlack grows for a machine that is not in touch.
+	slowedFactor = 8
+	// maxStrayed is how many packets of a flow break it if they reach other hosts within
+	// reorderTime and none reaches its own.
+	maxStrayed = 3
 )
 
 // checkOverload makes violations of the promises under overload fail the soak. They are
@@ -295,15 +299,12 @@
 		c.counts["resets of lost flows"]++
 		return
 	}
-	c.broken(now, f, "flow %s got a reset from %s; its host %s lives and holds it", flow, sender, f.host.id)
+	c.broken(now, f, sender, "flow %s got a reset from %s; its host %s lives and holds it", flow, sender, f.host.id)
 }
 
-// broken records a violation of FLOW unless an unplanned disruption excuses it.
-func (c *checker) broken(now time.Time, f *flowRecord, format string, args ...any) {
-	sender := f.balancer
-	if len(args) > 1 {
-		sender, _ = args[1].(string)
-	}
+// broken records a violation of FLOW, unless an unplanned disruption of the balancer, the
+// host's machine or the sender of a reset excuses it.
+func (c *checker) broken(now time.Time, f *flowRecord, sender, format string, args ...any) {
 	if !c.calm(now, true, f.balancer, f.host.machine, sender) {
 		c.counts["flows broken, excused"]++
 		return
@@ -323,25 +324,23 @@
 	if !c.lives(now, f) {
 		return
 	}
-	if c.hosts[id] != f.host {
+	atOwn := c.hosts[id] == f.host
+	if !atOwn {
 		f.elsewhere = append(f.elsewhere, now)
 	}
-	if len(f.elsewhere) == 0 || now.Sub(f.elsewhere[0]) < reorderTime {
-		if c.hosts[id] == f.host {
-			f.elsewhere = nil
-		}
-		return
-	}
 	strayed := 0
 	for _, at := range f.elsewhere {
 		if at.Sub(f.elsewhere[0]) <= reorderTime {
 			strayed++
 		}
 	}
-	if strayed >= 3 {
-		c.broken(now, f, "%d packets of flow %s reached other hosts, the last one %s, and none its own", strayed, flow, id)
+	late := strayed > 0 && now.Sub(f.elsewhere[0]) >= reorderTime
+	if late && strayed >= maxStrayed {
+		c.broken(now, f, f.balancer, "%d packets of flow %s reached other hosts, the last one %s, and none its own", strayed, flow, id)
+	}
+	if late || atOwn {
+		f.elsewhere = nil
 	}
-	f.elsewhere = nil
 }
 
 // taken records that a host took an opening packet.
@@ -396,7 +395,7 @@
 	boot := c.boots[sent.boot]
 	slack := rollbackSlack
 	if !c.calm(now, false, boot.machine) {
-		slack *= slowedSlackGrow
+		slack *= slowedFactor
 	}
 	for i, seenAt := range boot.seen {
 		if i > highest && sent.at.Sub(seenAt) > slack {
--- a/internal/cli/hostedsoak/fleet_test.go
+++ b/internal/cli/hostedsoak/fleet_test.go
@@ -1,6 +1,7 @@
 package hostedsoak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -230,7 +231,7 @@
 	f.writeOperatorKeys()
 }
 
-// writeOperatorKeys writes the configuration, and the evacuations that differ in the store.
+// writeOperatorKeys writes the configuration and the evacuations that differ in the store.
 // f.mu must be held.
 func (f *fleet) writeOperatorKeys() {
 	routes := []map[string]any{}
@@ -253,11 +254,12 @@
 	}
 	writes := []store.Write{{Key: "op/config", Value: value}}
 	for _, dc := range dataCentres {
-		write := store.Write{Key: "op/evacuate/" + dc, Value: []byte("{}"), Delete: !f.evacuated[dc]}
-		if e, _, _ := f.store.data.Get(context.Background(), write.Key); (e == nil) != write.Delete {
-			writes = append(writes, write)
-		}
+		writes = append(writes, store.Write{Key: "op/evacuate/" + dc, Value: []byte("{}"), Delete: !f.evacuated[dc]})
 	}
+	writes = slices.DeleteFunc(writes, func(w store.Write) bool {
+		e, _, _ := f.store.data.Get(context.Background(), w.Key)
+		return e == nil && w.Delete || e != nil && !w.Delete && bytes.Equal(e.Value, w.Value)
+	})
 	if _, err = f.store.data.Txn(context.Background(), nil, writes); err != nil {
 		panic(err)
 	}
@@ -282,7 +284,7 @@
 		}
 	}
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		if !slices.ContainsFunc(f.balancers, func(b *process) bool { return !b.inRotation() || !b.wasReady() }) {
+		if !slices.ContainsFunc(f.balancers, func(b *process) bool { return !b.inRotation() }) {
 			time.Sleep(time.Second)
 			return nil
 		}
--- a/internal/cli/hostedsoak/process_test.go
+++ b/internal/cli/hostedsoak/process_test.go
@@ -15,8 +15,12 @@
 	"time"
 )
 
-// heartbeatInterval is how often hosts send heartbeats.
-const heartbeatInterval = 1200 * time.Millisecond
+const (
+	// heartbeatInterval is how often hosts send heartbeats.
+	heartbeatInterval = 1200 * time.Millisecond
+	// maxMisses is how many readiness polls a balancer misses before routers leave it out.
+	maxMisses = 2
+)
 
 // process is a process of the product on a machine, through all its runs.
 type process struct {
@@ -34,16 +38,14 @@
 	boots int
 	// ending is set while the soak ends the process. stopped is set while it is suspended.
 	ending, stopped bool
-	// misses is the number of readiness polls in a row without success. everReady is set
-	// after the first success.
-	misses    int
-	everReady bool
+	// misses is the number of readiness polls in a row without success.
+	misses int
 }
 
 // newProcess writes the settings of a process, which is not started yet. service is that of
 // the host beside it, or empty.
 func (f *fleet) newProcess(name, role, dataCentre string, class uint16, address netip.Addr, service string) (p *process, err error) {
-	p = &process{f: f, name: name, role: role, dataCentre: dataCentre, class: class, address: address}
+	p = &process{f: f, name: name, role: role, dataCentre: dataCentre, class: class, address: address, misses: maxMisses}
 	p.settings, p.output = filepath.Join(f.dir, name+".yaml"), filepath.Join(f.dir, name+".log")
 	f.links.names[address], f.links.classes[address] = name, class
 	return p, p.writeSettings(service)
@@ -186,7 +188,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil && response.StatusCode == http.StatusOK && p.f.links.get(callersName, p.name).dropped < 1 {
-		p.misses, p.everReady = 0, true
+		p.misses = 0
 		return
 	}
 	p.misses++
@@ -196,14 +198,7 @@
 func (p *process) inRotation() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.misses < 2
-}
-
-// wasReady reports whether the balancer was ready once.
-func (p *process) wasReady() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.everReady
+	return p.misses < maxMisses
 }
 
 // currentBoot names the current run.
