hostedsoak: Allow longer scripts, split the checker

Longer scripts begin like those of the default length. A packet from another source than the flow's route counts as MIXED.

--- a/internal/cli/hostedsoak/caller_test.go
+++ b/internal/cli/hostedsoak/caller_test.go
@@ -256,7 +256,10 @@
 	case !intact && !s.isOwnReset():
 		c.f.checker.report(now, "MIXED", "caller %s got a packet from %s that its sender did not write so", s.dst, sender)
 		return
-	case fl == nil || s.src != fl.remote:
+	case fl == nil:
+		return
+	case s.src != fl.remote:
+		c.f.checker.report(now, "MIXED", "flow %s to %s got a packet from %s with the source %s", fl.local, fl.remote, sender, s.src)
 		return
 	case s.flags&flagRST != 0:
 		c.receiveReset(now, fl, s, sender, intact)
--- a/internal/cli/hostedsoak/soak_test.go
+++ b/internal/cli/hostedsoak/soak_test.go
@@ -13,10 +13,11 @@
 )
 
 var (
-	soakFirst = flag.Int("soak.first", 1, "first seed of TestHostedSoak")
-	soakCount = flag.Int("soak.count", 2, "number of seeds of TestHostedSoak after the regression seeds")
-	soakKeep  = flag.Bool("soak.keep", false, "keep the logs of seeds that pass, too")
-	soakRace  = flag.Bool("soak.race", false, "build the program with the race detector")
+	soakFirst  = flag.Int("soak.first", 1, "first seed of TestHostedSoak")
+	soakCount  = flag.Int("soak.count", 2, "number of seeds of TestHostedSoak after the regression seeds")
+	soakLength = flag.Duration("soak.length", scriptLength, "time in which faults of a seed begin; regression seeds hold for the default")
+	soakKeep   = flag.Bool("soak.keep", false, "keep the logs of seeds that pass, too")
+	soakRace   = flag.Bool("soak.race", false, "build the program with the race detector")
 )
 
 // hostedRegressionSeeds once broke a promise. A change of draw changes their scripts.
@@ -79,7 +80,7 @@
 	f.callers.setFactor(1)
 	f.callers.start()
 	time.Sleep(calmWindow)
-	f.play(draw(seed))
+	f.play(draw(seed, *soakLength))
 	f.recover()
 	f.checkRoutes()
 	f.callers.setFactor(0)
