hostedsoak: Send odd heartbeats and write odd entries

PROTOCOL allows heartbeats of earlier starts that were held up, and those and entries of other writers; agents took such a heartbeat for a restart of the host once.

--- a/internal/cli/hostedsoak/effects_test.go
+++ b/internal/cli/hostedsoak/effects_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
+
+	"agateramp/internal/keyvalue/store"
 )
 
 // disrupt records a disruption and returns what ends it, which runs heal first.
@@ -111,6 +114,30 @@
 	return func() {}
 }
 
+// beginOddHeartbeat sends an agent a heartbeat of an earlier start of its host that was
+// held up, or one of another writer, with missing fields or that cannot be read.
+func beginOddHeartbeat(f *fleet, s step) (end func()) {
+	h := f.machines[s.target].current()
+	if h == nil {
+		return func() {}
+	}
+	early := h.born - 5000
+	body := []string{h.heartbeat("ready", time.Time{}, 7, early), h.heartbeat("draining", time.Time{}, 7, early), `{"service":"` + h.service + `","state":"ready","seq":1}`, "{"}[s.detail%4]
+	if response, err := h.m.call(http.MethodPut, "i-early", body); err == nil {
+		_ = response.Body.Close()
+	}
+	return func() {}
+}
+
+// beginOddEntry writes an entry of another writer where agents have theirs.
+func beginOddEntry(f *fleet, s step) (end func()) {
+	value := []string{"", "{", `{"address":7}`, "null"}[s.detail%4]
+	if _, err := f.store.data.Txn(f.tasks.Context(), nil, []store.Write{{Key: "agateramp/agent/odd", Value: []byte(value)}}); err != nil {
+		f.checker.report(time.Now(), "SOAK", "odd entry: %v", err)
+	}
+	return func() {}
+}
+
 func beginHang(f *fleet, s step) (end func()) {
 	h := f.machines[s.target].current()
 	if h == nil {
--- a/internal/cli/hostedsoak/faults_test.go
+++ b/internal/cli/hostedsoak/faults_test.go
@@ -70,6 +70,8 @@
 		{planned, "terminate balancer", "balancer", 3, balancerCount, balancer((*fleet).terminateBalancer)},
 		{planned, "terminate agent", "agent", 4, machineCount, agent((*fleet).terminateAgent)},
 		{planned, "reload settings", "reload", 1, balancerCount + machineCount, beginReload},
+		{planned, "send odd heartbeat", "reload", 2, machineCount, beginOddHeartbeat},
+		{planned, "write odd entry", "entry", 1, 1, beginOddEntry},
 		{planned, "drain host", "host", 2, machineCount, beginDrain},
 		{planned, "reassign host", "host", 1, machineCount, beginReassign},
 		{planned, "change configuration", "config", 4, 1, beginConfig},
--- a/internal/cli/hostedsoak/host_test.go
+++ b/internal/cli/hostedsoak/host_test.go
@@ -204,15 +204,9 @@
 	if draining {
 		state = "draining"
 	}
-	body := fmt.Sprintf(`{"service":%q,"address":"%s:%d","zone":%q,"version":"v1","capacity":%d,"state":%q,"cold_left_ms":%d,"seq":%d,"born":%d}`,
-		h.service, h.m.agent.address, hostPort, h.m.agent.dataCentre, hostSlots, state, max(time.Until(coldUntil).Milliseconds(), 0), h.sequence, h.born)
+	body := h.heartbeat(state, coldUntil, h.sequence, h.born)
 	h.mu.Unlock()
-	url := fmt.Sprintf("http://%s/v1/instances/%s", netip.AddrPortFrom(h.m.agent.address, controlPort), h.id)
-	request, err := http.NewRequest(method, url, strings.NewReader(body))
-	if err != nil {
-		return
-	}
-	response, err := h.m.f.client.Do(request)
+	response, err := h.m.call(method, h.id, body)
 	if err != nil {
 		return
 	}
@@ -230,6 +224,22 @@
 	}
 }
 
+// heartbeat returns the body of a heartbeat.
+func (h *host) heartbeat(state string, coldUntil time.Time, sequence int, born int64) string {
+	return fmt.Sprintf(`{"service":%q,"address":"%s:%d","zone":%q,"version":"v1","capacity":%d,"state":%q,"cold_left_ms":%d,"seq":%d,"born":%d}`,
+		h.service, h.m.agent.address, hostPort, h.m.agent.dataCentre, hostSlots, state, max(time.Until(coldUntil).Milliseconds(), 0), sequence, born)
+}
+
+// call sends a heartbeat to the agent.
+func (m *machine) call(method, id, body string) (response *http.Response, err error) {
+	url := fmt.Sprintf("http://%s/v1/instances/%s", netip.AddrPortFrom(m.agent.address, controlPort), id)
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return m.f.client.Do(request)
+}
+
 func (h *host) send(raw []byte) {
 	_, _ = h.conn.WriteToUDPAddrPort(raw, netip.AddrPortFrom(h.m.agent.address, outboundPort))
 }
