hostedsoak: Start no host while its machine changes the service

The end of a drain could start a host of the new service beside the agent of the old one, which refuses its heartbeats.

--- a/internal/cli/hostedsoak/effects_test.go
+++ b/internal/cli/hostedsoak/effects_test.go
@@ -94,6 +94,8 @@
 		f.restart(m.agent)
 		f.startHost(m, "")
 	}, m.agent.name)
+	m.starting.Lock()
+	defer m.starting.Unlock()
 	m.mu.Lock()
 	m.service = map[string]string{studio: archive, archive: studio}[m.service]
 	err := m.agent.writeSettings(m.service)
--- a/internal/cli/hostedsoak/faults_test.go
+++ b/internal/cli/hostedsoak/faults_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"agateramp/internal/process/group"
@@ -93,6 +93,15 @@
 	}
 }
 
+// slot is what at most one fault of a script disturbs at a time.
+type slot struct {
+	group  string
+	target int
+}
+
+// machineGroups are the groups of faults that disturb one machine.
+var machineGroups = []string{"balancer", "agent", "host", "link"}
+
 // draw returns the script of a seed, in which faults begin for a time.
 func draw(seed int, length time.Duration) (steps []step) {
 	random := rand.New(rand.NewPCG(uint64(seed), 1))
@@ -103,7 +112,7 @@
 			lots = append(lots, k)
 		}
 	}
-	busy := make(map[string]time.Duration)
+	busy := make(map[slot]time.Duration)
 	for at := time.Duration(0); at < length; {
 		k := lots[random.IntN(len(lots))]
 		s := step{at: at, kind: k.name, target: random.IntN(k.targets), detail: random.IntN(1 << 16), length: time.Duration(random.Int64N(int64(faultLength)))}
@@ -114,10 +123,10 @@
 		case "evacuate":
 			s.length = evacuationTime + time.Duration(random.Int64N(int64(evacuationLength)))
 		}
-		key := fmt.Sprint(k.group, s.target)
+		key := slot{k.group, s.target}
 		disturbed := 0
-		for name, until := range busy {
-			if until > at && (name[0] == 'b' || name[0] == 'a' || name[0] == 'h' || name[0] == 'l') {
+		for other, until := range busy {
+			if until > at && slices.Contains(machineGroups, other.group) {
 				disturbed++
 			}
 		}
--- a/internal/cli/hostedsoak/host_test.go
+++ b/internal/cli/hostedsoak/host_test.go
@@ -34,6 +34,8 @@
 	f     *fleet
 	agent *process
 
+	// starting is held while a host starts and while the service changes.
+	starting sync.Mutex
 	// mu guards the fields below.
 	mu      sync.Mutex
 	service string
@@ -79,6 +81,8 @@
 
 // startHost starts a host. An id of "" makes a new one; cold is how long it is cold.
 func (m *machine) startHost(id string, cold time.Duration) (err error) {
+	m.starting.Lock()
+	defer m.starting.Unlock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.host != nil && !isClosed(m.host.ended) || m.f.tasks.Context().Err() != nil {
