dispatch: Show few hosts a packet while an agent does not answer

While an agent of the flow's services has not answered, at most two packets go to others within 2 s; a balancer that starts is excepted, because nothing is planned then. TestProbesWhileAgentRestarts failed before (5 packets in 1.5 s). Probes have a file of their own.

--- a/internal/segment/dispatch/flows.go
+++ b/internal/segment/dispatch/flows.go
@@ -84,6 +84,8 @@
 	probing       bool
 	probesSent    []int
 	onlyCandidate *agent
+	// strays counts the packets that agents were probed with, over all searches.
+	strays strays
 	// relayed is set if the last packets came from another balancer. They are not
 	// relayed again.
 	relayed bool
--- a/internal/segment/dispatch/lookup.go
+++ b/internal/segment/dispatch/lookup.go
@@ -19,9 +19,6 @@
 	// maxLookupFlows bounds the flows in one lookup, which is sent as one datagram. A
 	// flow takes 24 bytes.
 	maxLookupFlows = 50
-	// probePackets is how many packets a probe sends. It takes two because hosts
-	// acknowledge every second packet.
-	probePackets = 2
 	// maxSearchTime bounds how long a balancer that has just started searches for a flow,
 	// from the first packet of the search on. Callers send at least two copies of a packet
 	// within this time.
@@ -235,33 +232,6 @@
 	}
 }
 
-// nextProbe returns the next agent to probe, or nil. Agents early in the rendezvous
-// order of the flow come first, because the host that the flow was placed at is
-// among them.
-func (d *Dispatcher) nextProbe(now time.Time, e *flowEntry) *agent {
-	e.unsureAgents = slices.DeleteFunc(e.unsureAgents, func(a *agent) bool { return e.wasTried(a) || slices.Contains(e.deniedBy, a) })
-	if len(e.unsureAgents) == 0 || len(e.buffered) == 0 {
-		return nil
-	}
-	isUnsure := func(a *agent) bool { return slices.Contains(e.unsureAgents, a) }
-	for _, tag := range d.routeServiceTags(e) {
-		if a := d.rank(now, e.key, tag, isUnsure).first; a != nil {
-			return a
-		}
-	}
-	return e.unsureAgents[0]
-}
-
-// probe sends the first buffered packets of a flow to an agent and waits for its
-// answer.
-func (d *Dispatcher) probe(now time.Time, e *flowEntry, a *agent) (decisions []Decision) {
-	e.triedAgents, e.probing = append(e.triedAgents, a), true
-	d.setDeadline(e, now.Add(searchTimeout))
-	count := min(len(e.buffered), probePackets)
-	e.probesSent = append(e.probesSent, count)
-	return d.forward(e, a.address, StepSearch, e.buffered[:count]...)
-}
-
 // onlyCandidate returns the agent that was probed and has not returned the packets, if
 // all other agents have denied the flow, and nil otherwise. The host of that agent may
 // be slow to answer.
@@ -297,16 +267,6 @@
 	return true
 }
 
-// probesSentTo returns how many of the buffered packets an agent was probed with.
-func (e *flowEntry) probesSentTo(agent netip.Addr) int {
-	for i, a := range e.triedAgents {
-		if a.address == agent && i < len(e.probesSent) {
-			return e.probesSent[i]
-		}
-	}
-	return 0
-}
-
 // establish records the address of the owner's agent and returns the decisions to
 // forward to it the buffered packets that it was not probed with.
 func (d *Dispatcher) establish(e *flowEntry, owner netip.Addr) (decisions []Decision) {
