relay: Probe hosts that fall silent with work to answer

A host that died and returned between two heartbeats was found only by the bounce of a request that had been sent into one of its flows. Its agent now tries a connection after 50 ms of silence while requests or first packets wait, keeps new flows away once it is refused, and resets all flows once the host was quiet for 200 ms. A bounce of an open flow starts a verification of the others, so that idle flows of an earlier start are reset too. A host that hangs accepts connections: nothing is reset, and it is probed at most every 250 ms.

TestHostDiesBetweenHeartbeats, TestHostThatHangsKeepsItsFlows, TestRefusalIsTakenBack and TestBounceStartsVerification fail without the change.

--- a/internal/segment/agent/probe.go
+++ b/internal/segment/agent/probe.go
@@ -21,6 +21,7 @@
 // hostRefuses reports whether the machine refuses connections to the host because no process listens at its address. A
 // connection that is accepted is closed at once; no request is sent. After a timeout the host may be running.
 func (a *Agent) hostRefuses() bool {
+	a.config.Metrics.Counter("host.probes").Inc(1)
 	conn, err := net.DialTimeout("tcp4", a.config.HostAddress.String(), probeTimeout)
 	if err == nil {
 		conn.Close()
@@ -34,11 +35,23 @@
 	a.mu.Lock()
 	needed := a.core.NeedsProbe(time.Now())
 	a.mu.Unlock()
-	if needed && a.hostRefuses() {
+	switch {
+	case !needed:
+	case a.hostRefuses():
 		a.handleHostAbsent()
+	default:
+		a.handleHostListens()
 	}
 }
 
+// handleHostListens announces the state of a host that accepts connections, if that has changed it.
+func (a *Agent) handleHostListens() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core.HandleHostListens()
+	a.announceState(time.Now())
+}
+
 // handleHostAbsent resets the flows of a host that does not run and announces its state.
 func (a *Agent) handleHostAbsent() {
 	a.mu.Lock()
@@ -46,6 +59,7 @@
 	now := time.Now()
 	decisions := a.core.HandleHostAbsent(now)
 	if !a.core.HostAbsent() {
+		a.announceState(now)
 		return
 	}
 	logging.Line(level.Info(a.config.Logger), "event", "host_absent", "host", a.core.HostID(),
--- a/internal/segment/relay/absence.go
+++ b/internal/segment/relay/absence.go
@@ -1,6 +1,11 @@
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"agateramp/internal/core/flow"
+)
 
 const (
 	// minProbeInterval is the least time between two probes of the host.
@@ -10,11 +15,35 @@
 	// minQuietTime is how long a host must have sent no packet for a refused probe to count. A host that is just
 	// starting may receive packets before it accepts connections.
 	minQuietTime = 200 * time.Millisecond
+	// probeAfterSilence is how long a host may be silent while it has requests or first packets to answer before it is
+	// probed. It is above the time that most requests take, so that few probes are made of hosts that are alive, and
+	// leaves time for a second probe soon after minQuietTime.
+	probeAfterSilence = 50 * time.Millisecond
 )
 
+// recordDelivery records that a packet that the host has to answer is delivered.
+func (h *host) recordDelivery(now time.Time) {
+	if !h.awaitedSince.After(h.quietSince) {
+		h.awaitedSince = now
+	}
+}
+
+// isSilent reports whether the host has been silent for probeAfterSilence although it has packets to answer.
+func (r *Relay) isSilent(now time.Time) bool {
+	offered := func(key flow.Key) bool { return r.flows[key] != nil && r.flows[key].state == stateOffered }
+	if r.load.outstandingRequests == 0 && !slices.ContainsFunc(r.recentOffers, offered) {
+		return false
+	}
+	since := r.host.quietSince
+	if r.host.awaitedSince.After(since) {
+		since = r.host.awaitedSince
+	}
+	return now.Sub(since) >= probeAfterSilence
+}
+
 // NeedsProbe reports whether the importer should try to connect to the host now, to learn whether its process runs: no
 // heartbeat was received yet, or the host has deregistered or fallen silent. The next probe is due after minProbeInterval
-// at the earliest.
+// at the earliest, or once a host that refused a connection has been quiet for minQuietTime.
 func (r *Relay) NeedsProbe(now time.Time) bool {
 	h := &r.host
 	if now.Before(h.nextProbeAt) {
@@ -24,7 +53,7 @@
 	case h.phase == phaseAbsent:
 		return false
 	case h.phase == phaseUnseen, h.phase == phaseDeregistered:
-	case h.unansweredCount > 0:
+	case h.unansweredCount > 0, h.refused, r.isSilent(now):
 	case now.Sub(h.current.heardAt) > time.Duration(probeAfterHeartbeats*float64(r.heartbeatInterval)):
 	default:
 		return false
@@ -35,14 +64,16 @@
 
 // HandleHostAbsent records that the machine refused a connection to the host because no process listens there: the host
 // is not running and has lost all its flows. The decisions reset them. The next start of the host begins with its first
-// heartbeat or packet.
+// heartbeat or packet. If the host was not quiet for minQuietTime, it only gets no new flows until the next probe.
 func (r *Relay) HandleHostAbsent(now time.Time) (decisions []Decision) {
 	h := &r.host
 	ended := h.phase == phaseDeregistered && !h.quietSince.After(h.deregisteredAt)
-	if now.Sub(h.quietSince) < minQuietTime && !ended {
+	if quietAt := h.quietSince.Add(minQuietTime); now.Before(quietAt) && !ended {
+		h.refused, h.nextProbeAt = true, quietAt
 		return nil
 	}
 	h.endCurrent()
+	h.refused = false
 	h.maybeCold, r.seenAll = true, true
 	for key, f := range r.flows {
 		if f.state == stateOpen && !f.ended {
@@ -53,5 +84,8 @@
 	return decisions
 }
 
+// HandleHostListens records that a process at the host's address accepted a connection. It says nothing of its start.
+func (r *Relay) HandleHostListens() { r.host.refused = false }
+
 // HostAbsent reports whether the host is known not to run.
 func (r *Relay) HostAbsent() bool { return r.host.phase == phaseAbsent }
--- a/internal/segment/relay/absence_test.go
+++ b/internal/segment/relay/absence_test.go
@@ -33,6 +33,22 @@
 			f.advance(2 * answerTimeout)
 			f.Tick(f.now)
 		}, true},
+		{"request without an answer", func(f *fixture) {
+			f.openFlow()
+			f.advance(time.Second)
+			f.receiveFromBalancer(callerSegment(packet.ACK, 401, 6001, 300))
+			f.advance(probeAfterSilence)
+		}, true},
+		{"request after a pause", func(f *fixture) {
+			f.openFlow()
+			f.advance(time.Second)
+			f.receiveFromBalancer(callerSegment(packet.ACK, 401, 6001, 300))
+			f.advance(probeAfterSilence - time.Millisecond)
+		}, false},
+		{"idle flows", func(f *fixture) {
+			f.openFlow()
+			f.advance(time.Second)
+		}, false},
 		{"probed a moment ago", func(f *fixture) {
 			f.advance(2 * heartbeatInterval)
 			f.NeedsProbe(f.now)
@@ -94,6 +110,59 @@
 	f.is.Equal(f.Locate(balancer, callerSegment(0, 0, 0, 0).KeyFromCaller(), 0), HoldingYes)
 }
 
+// Guards against requests that are sent into flows of a host that has died and whose heartbeat is not overdue yet, and
+// against flows for it while its next start may be receiving packets before it accepts connections.
+func TestHostDiesBetweenHeartbeats(t *testing.T) {
+	f := newFixture(t, false)
+	f.openFlow()
+	f.receiveFromBalancer(callerSegment(packet.ACK, 401, 6001, 300))
+	f.advance(probeAfterSilence)
+	due, decisions := f.probe()
+	f.is.True(due)
+	f.is.Equal(len(decisions), 0) // a start that is just beginning may hold the flow
+	f.is.Equal(f.State(f.now), packet.HostUnresponsive)
+	f.assertReturned(f.receiveFromBalancer(callerSegment(packet.SYN, 900_000_000, 0, 0)), packet.ReturnNoHost)
+
+	f.advance(minQuietTime - probeAfterSilence)
+	due, decisions = f.probe()
+	f.is.True(due)
+	f.is.Equal(decisions, []Decision{Reset{Flow: hostSegment(0, 0, 0).KeyFromHost(), Sequence: 6001, Reason: ReasonHostAbsent}})
+	f.is.Equal(f.State(f.now), packet.HostGone)
+}
+
+// Guards against resets of the flows of a host that hangs, which may still answer, and against probes of it at each check.
+func TestHostThatHangsKeepsItsFlows(t *testing.T) {
+	f := newFixture(t, false)
+	f.openFlow()
+	f.receiveFromBalancer(callerSegment(packet.ACK, 401, 6001, 300))
+	probes := 0
+	for range 20 {
+		f.advance(50 * time.Millisecond)
+		if f.NeedsProbe(f.now) {
+			probes++
+			f.HandleHostListens()
+		}
+	}
+	f.is.Equal(probes, 4) // one each minProbeInterval
+	f.is.Equal(f.Locate(balancer, hostSegment(0, 0, 0).KeyFromHost(), 0), HoldingYes)
+}
+
+// Guards against a host that stays without new flows after a refused connection although it has sent packets since or
+// accepts connections.
+func TestRefusalIsTakenBack(t *testing.T) {
+	f := newFixture(t, false)
+	f.openFlow()
+	for _, sign := range []func(){
+		func() { f.HandleFromHost(f.now, hostSegment(packet.ACK, 6001, 100)) },
+		f.HandleHostListens,
+	} {
+		f.HandleHostAbsent(f.now)
+		f.is.Equal(f.State(f.now), packet.HostUnresponsive)
+		sign()
+		f.is.Equal(f.State(f.now), packet.HostReady)
+	}
+}
+
 // Guards against a host that attracts flows because it fails fast: while it goes down and up it accepts flows and resets
 // them at their first request, so that it never looks busy. Its agent should offer it no more than a trial flow meanwhile.
 func TestHostThatResetsRequests(t *testing.T) {
--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -61,10 +61,15 @@
 	deregisteredAt time.Time
 	// nextProbeAt is when the host is probed again at the earliest.
 	nextProbeAt time.Time
+	// awaitedSince is when the first packet since quietSince that the host has to answer was delivered. If it is not after
+	// quietSince, there was none.
+	awaitedSince time.Time
+	// refused is set while the last probe was refused and the host has sent no packet since.
+	refused bool
 }
 
-// State returns the state of the host. It is HostUnresponsive if a ready host has stopped its heartbeats or has left too
-// many first packets unanswered, and HostGone only if no process of the host runs.
+// State returns the state of the host. It is HostUnresponsive if a ready host has stopped its heartbeats, has left too many
+// first packets unanswered, or has refused a connection, and HostGone only if no process of the host runs.
 func (r *Relay) State(now time.Time) packet.HostState {
 	h := &r.host
 	switch {
@@ -76,7 +81,7 @@
 		return packet.HostDraining
 	case r.drains(now):
 		return packet.HostDraining
-	case now.Sub(h.current.heardAt) > maxMissedHeartbeats*r.heartbeatInterval, h.unansweredCount >= maxUnanswered:
+	case now.Sub(h.current.heardAt) > maxMissedHeartbeats*r.heartbeatInterval, h.unansweredCount >= maxUnanswered, h.refused:
 		return packet.HostUnresponsive
 	}
 	return packet.HostReady
@@ -113,7 +118,7 @@
 	case packet.HostDraining:
 		return packet.ReturnDraining, true
 	case packet.HostUnresponsive:
-		if now.Sub(r.host.current.heardAt) > maxMissedHeartbeats*r.heartbeatInterval || now.Before(r.host.nextTrialAt) {
+		if now.Sub(r.host.current.heardAt) > maxMissedHeartbeats*r.heartbeatInterval || r.host.refused || now.Before(r.host.nextTrialAt) {
 			return packet.ReturnNoHost, true
 		}
 		r.host.nextTrialAt = now.Add(trialInterval)
--- a/internal/segment/relay/load.go
+++ b/internal/segment/relay/load.go
@@ -47,6 +47,7 @@
 		f.busy, f.hadRequest = true, true
 		r.load.outstandingRequests++
 	}
+	r.host.recordDelivery(now)
 	f.requestedAt = now
 }
 
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -72,6 +72,8 @@
 	verificationDue bool
 	unverified      []flow.Key
 	copyBytes       int
+	// nextBounceVerificationAt is when a bounce may start a verification again.
+	nextBounceVerificationAt time.Time
 	// recentOffers holds the flows whose first packet was delivered to the host within the last answerTimeout.
 	recentOffers   []flow.Key
 	load           load
@@ -151,6 +153,7 @@
 	f.callerSequence.set(s.Sequence)
 	r.addFlow(now, key, f)
 	r.recentOffers = append(r.recentOffers, key)
+	r.host.recordDelivery(now)
 	return []Decision{Deliver{Flow: key, Data: s.Data}}
 }
 
@@ -264,6 +267,7 @@
 		// The host held the flow before, so no other host holds it. It may have restarted.
 		r.host.maybeCold = true
 		r.removeFlow(now, key, f)
+		r.verifyAfterBounce(now)
 		return []Decision{Reset{Flow: key, Sequence: f.resetSequence(), Reason: ReasonHostLostFlow}}
 	}
 	r.dropCopy(f)
@@ -274,7 +278,7 @@
 // recordHostPacket records that the host has sent a packet, so that it runs.
 func (r *Relay) recordHostPacket(now time.Time) {
 	h := &r.host
-	h.quietSince, h.unansweredCount = now, 0
+	h.quietSince, h.unansweredCount, h.refused = now, 0, false
 	if h.phase == phaseAbsent {
 		// A new start of the host, which has sent no heartbeat yet.
 		h.phase = phaseUnseen
--- a/internal/segment/relay/verification.go
+++ b/internal/segment/relay/verification.go
@@ -1,12 +1,19 @@
 package relay
 
-import "agateramp/internal/segment/packet"
+import (
+	"time"
+
+	"agateramp/internal/segment/packet"
+)
 
 const (
 	// verificationBatch is how many flows are verified in each call of Verify, so that the packets of callers do not wait.
 	verificationBatch = 32
 	// maxCopyBytes limits the size of all kept copies. A copy has at most 1,236 bytes and mostly 36.
 	maxCopyBytes = 4 << 20
+	// minBounceVerification is the least time between two verifications that a bounce starts. A host bounces packets of
+	// single flows, too, because it discards those that are idle or old.
+	minBounceVerification = 500 * time.Millisecond
 )
 
 // Verify returns the next decisions of a verification of the open flows, if one is under way. After a sign that the host may
@@ -27,6 +34,15 @@
 	return decisions
 }
 
+// verifyAfterBounce starts a verification because the host has bounced a packet of a flow that it held: it may have
+// restarted and lost the others too.
+func (r *Relay) verifyAfterBounce(now time.Time) {
+	if len(r.unverified) > 0 || now.Before(r.nextBounceVerificationAt) {
+		return
+	}
+	r.verificationDue, r.nextBounceVerificationAt = true, now.Add(minBounceVerification)
+}
+
 func (r *Relay) listUnverified() {
 	r.unverified = nil
 	for key, f := range r.flows {
--- a/internal/segment/relay/verification_test.go
+++ b/internal/segment/relay/verification_test.go
@@ -101,3 +101,24 @@
 	decisions := f.HandleFromHost(f.now, &packet.Segment{Source: service, Destination: caller, Flags: packet.SYN | packet.ACK, Sequence: 70, Acknowledgement: 900_000_001})
 	f.is.Equal(decisions[1], Accept{Flow: hostSegment(0, 0, 0).KeyFromHost(), Balancer: balancer, Sequence: 70, Handshake: true})
 }
+
+// Guards against requests that are sent into idle flows of a host that has restarted, before its first heartbeat, and
+// against a verification for each bounce.
+func TestBounceStartsVerification(t *testing.T) {
+	f := newFixture(t, false)
+	f.openFlow()
+	idle := callerSegment(packet.ACK, 101, 5001, 0)
+	idle.Source = netip.AddrPortFrom(caller.Addr(), 2)
+	answer := hostSegment(packet.ACK, 5001, 100)
+	answer.Destination = idle.Source
+	f.HandleFromHost(f.now, answer)
+	f.receiveFromBalancer(idle)
+	f.HandleFromHost(f.now, markBounced(callerSegment(packet.ACK, 401, 6001, 300)))
+	f.is.Equal(f.Verify(), []Decision{Redeliver{Flow: idle.KeyFromCaller(), Data: []byte{1}}})
+	f.is.Equal(f.HandleFromHost(f.now, markBounced(idle)), []Decision{Reset{Flow: idle.KeyFromCaller(), Sequence: 5001, Reason: ReasonHostLostFlow}})
+	f.is.Equal(f.verificationDue, false)
+	f.advance(minBounceVerification)
+	f.openFlow()
+	f.HandleFromHost(f.now, markBounced(callerSegment(packet.ACK, 401, 6001, 300)))
+	f.is.True(f.verificationDue)
+}
