relay: Report how the requests of a host end

The agent records resets, overdue requests and quick answers, reports them with the load where the settings ask for it, and pushes its status when three more requests have failed. Quick answers no longer lower the latency by which hosts are placed. After three failures in a row without an answer the host is unresponsive, in all deployments, until its next answer or start.

--- a/internal/segment/agent/agent.go
+++ b/internal/segment/agent/agent.go
@@ -53,6 +53,8 @@
 	FlowLifetime time.Duration
 	// ColdBounds limit the new flows of the host while it is cold. If nil, they are not limited.
 	ColdBounds *coldstart.Bounds
+	// JudgeHosts makes the agent report the outcomes of its host's requests to balancers. If not set, it reports none.
+	JudgeHosts bool
 	// Seeds are addresses of machines that may run a balancer. The agent sends its status to them while no balancer
 	// sends a Hello. If empty, the agent waits until a balancer finds its entry.
 	Seeds []netip.Addr
@@ -97,6 +99,9 @@
 	minHelloSilence = 600 * time.Millisecond
 	silentGaps      = 4
 	helloGapWeight  = 0.1
+	// failuresPerAnnouncement is by how much the number of failed requests has to grow for balancers to be sent the status
+	// unasked.
+	failuresPerAnnouncement = 3
 	// maxReportedBalancers is the most balancers that a status lists. Each status lists others, so that balancers learn
 	// of all.
 	maxReportedBalancers = 4
@@ -128,6 +133,8 @@
 	configHolder  netip.Addr
 	// announcedState is the host's state that balancers were last sent.
 	announcedState packet.HostState
+	// announcedFailures is the number of failed requests that balancers were last sent without asking for it.
+	announcedFailures int
 	// evacuations holds the operator's evacuations as balancers have reported them.
 	evacuations evacuation.Tracker
 	stopping    bool
@@ -142,6 +149,7 @@
 	core, err := relay.New(relay.Config{
 		Service: c.Service, HeartbeatInterval: c.HeartbeatInterval, StartedAt: time.Now(), FlowLifetime: c.FlowLifetime,
 		ColdBounds:     c.ColdBounds,
+		JudgeHosts:     c.JudgeHosts,
 		ObserveLatency: func(latency time.Duration) { c.Metrics.Latency("latency.host_us", latency) },
 	})
 	if err != nil {
@@ -271,6 +279,7 @@
 	a.core.Tick(now)
 	a.execute(now, a.core.Verify())
 	a.announceState(now)
+	a.announceFailures(now)
 }
 
 func (a *Agent) doHousekeeping() {
@@ -285,6 +294,8 @@
 	m.Gauge("host.cold_ms").Update(a.core.ColdRemaining(now).Milliseconds())
 	m.Gauge("host.cold_room").Update(coldRoom(load))
 	m.Gauge("host.latency_us").Update(load.Latency.Microseconds())
+	m.Gauge("host.requests_observed").Update(int64(load.Health.Requests))
+	m.Gauge("host.requests_failed").Update(int64(load.Health.Failures))
 	if age, known := a.core.HeartbeatAge(now); known {
 		m.Gauge("host.heartbeat_age_ms").Update(age.Milliseconds())
 	}
--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -41,6 +41,9 @@
 	if m.ColdRateKnown {
 		a.core.SetColdRate(m.ColdRate, m.ConfigVersion)
 	}
+	if m.UsualLatency > 0 {
+		a.core.SetUsualLatency(m.UsualLatency)
+	}
 	if m.Unlisted {
 		a.registrar.RequestCheck()
 	}
@@ -169,6 +172,17 @@
 	}
 }
 
+// announceFailures sends the status to the balancers if the host fails more requests than they were sent. a.mu must be
+// held.
+func (a *Agent) announceFailures(now time.Time) {
+	failures := a.core.Load(now).Health.Failures
+	if failures >= a.announcedFailures+failuresPerAnnouncement {
+		a.sendStatusToBalancers(now)
+		a.announcedFailures = failures
+	}
+	a.announcedFailures = min(a.announcedFailures, failures)
+}
+
 // HandleHeartbeat processes a heartbeat of the host.
 func (a *Agent) HandleHeartbeat(hb relay.Heartbeat) {
 	now := time.Now()
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -18,6 +18,7 @@
 	"agateramp/internal/keyvalue/store"
 	"agateramp/internal/segment/datapathpb"
 	"agateramp/internal/segment/evacuation"
+	"agateramp/internal/segment/hosthealth"
 	"agateramp/internal/segment/packet"
 )
 
@@ -36,6 +37,8 @@
 	// limit. It is valid only if ColdRateKnown is set.
 	ColdRate      float64
 	ColdRateKnown bool
+	// UsualLatency is the usual latency at the hosts of the agent's service, or 0 if it is not known.
+	UsualLatency time.Duration
 }
 
 // Status is an agent's report on itself and its host.
@@ -199,7 +202,9 @@
 }
 
 func encodeHello(m Hello) (pb *datapathpb.Hello) {
-	pb = &datapathpb.Hello{ConfigVersion: m.ConfigVersion, Unlisted: m.Unlisted, Evacuations: m.Evacuations.Encode()}
+	pb = &datapathpb.Hello{
+		ConfigVersion: m.ConfigVersion, Unlisted: m.Unlisted, Evacuations: m.Evacuations.Encode(), UsualLatencyUs: uint32(m.UsualLatency.Microseconds()),
+	}
 	if m.ColdRateKnown {
 		pb.ColdRate = &m.ColdRate
 	}
@@ -209,7 +214,7 @@
 func decodeHello(pb *datapathpb.Hello) Hello {
 	return Hello{
 		ConfigVersion: pb.GetConfigVersion(), Unlisted: pb.GetUnlisted(), Evacuations: evacuation.Decode(pb.GetEvacuations()),
-		ColdRate: pb.GetColdRate(), ColdRateKnown: pb.ColdRate != nil,
+		ColdRate: pb.GetColdRate(), ColdRateKnown: pb.ColdRate != nil, UsualLatency: time.Duration(pb.GetUsualLatencyUs()) * time.Microsecond,
 	}
 }
 
@@ -262,6 +267,7 @@
 		Slots: uint32(l.Slots), Busy: uint32(l.OutstandingRequests), Flows: uint32(l.OpenFlows),
 		LatencyUs: uint32(l.Latency.Microseconds()), UtilisationPermille: uint32(l.Utilisation * 1000),
 		Limit: uint32(l.Limit), Held: uint32(l.HeldRequests), BaseLatencyUs: uint32(l.BaseLatency.Microseconds()), RatePermille: uint32(math.Round(l.Rate * 1000)),
+		Requests: uint32(l.Health.Requests), Failures: uint32(l.Health.Failures),
 	}
 	if l.Cold {
 		pb.ColdRoom = uint32(l.ColdRoom) + 1
@@ -276,6 +282,7 @@
 		Utilisation: float64(pb.GetUtilisationPermille()) / 1000,
 		Limit:       int(pb.GetLimit()), HeldRequests: int(pb.GetHeld()),
 		BaseLatency: time.Duration(pb.GetBaseLatencyUs()) * time.Microsecond, Rate: float64(pb.GetRatePermille()) / 1000,
+		Health: hosthealth.Report{Requests: int(pb.GetRequests()), Failures: int(pb.GetFailures())},
 	}
 	if room := pb.GetColdRoom(); room > 0 {
 		l.Cold, l.ColdRoom = true, int(room-1)
--- a/internal/segment/packet/load.go
+++ b/internal/segment/packet/load.go
@@ -1,6 +1,10 @@
 package packet
 
-import "time"
+import (
+	"time"
+
+	"agateramp/internal/segment/hosthealth"
+)
 
 // HostState is the state of a host as its agent reports it. Only hosts in HostReady
 // get new flows.
@@ -57,6 +61,9 @@
 	// of requests a second that the host can answer. Zero means that they are not known.
 	BaseLatency time.Duration
 	Rate        float64
+	// Health is how the last requests of the host ended; the zero value means that it is not
+	// known.
+	Health hosthealth.Report
 	// Cold is set while the host is cold and its new flows are limited. ColdRoom is then
 	// how many it takes now.
 	Cold     bool
--- a/internal/segment/relay/absence.go
+++ b/internal/segment/relay/absence.go
@@ -76,6 +76,7 @@
 	h.refused = false
 	h.maybeCold, r.seenAll = true, true
 	for key, f := range r.flows {
+		r.observeReset(now, f)
 		if f.state == stateOpen && !f.ended {
 			decisions = append(decisions, Reset{Flow: key, Sequence: f.resetSequence(), Reason: ReasonHostAbsent})
 		}
--- a/internal/segment/relay/flow.go
+++ b/internal/segment/relay/flow.go
@@ -75,6 +75,10 @@
 	// caller last sent new data.
 	busy, hadRequest bool
 	requestedAt      time.Time
+	// begunAt is when the outstanding request began. crowded is set if the host had more to do then than it processes at
+	// once, and overdue once the request has counted as failed because the host did not answer it.
+	begunAt          time.Time
+	crowded, overdue bool
 	offeredAt        time.Time
 	expiresAt        time.Time
 	// countedUnanswered is set once the first packet was counted as unanswered.
--- a/internal/segment/relay/host.go
+++ b/internal/segment/relay/host.go
@@ -69,7 +69,8 @@
 }
 
 // State returns the state of the host. It is HostUnresponsive if a ready host has stopped its heartbeats, has left too many
-// first packets unanswered, or has refused a connection, and HostGone only if no process of the host runs.
+// first packets unanswered, has failed its last requests, or has refused a connection, and HostGone only if no process of the
+// host runs.
 func (r *Relay) State(now time.Time) packet.HostState {
 	h := &r.host
 	switch {
@@ -81,7 +82,7 @@
 		return packet.HostDraining
 	case r.drains(now):
 		return packet.HostDraining
-	case now.Sub(h.current.heardAt) > maxMissedHeartbeats*r.heartbeatInterval, h.unansweredCount >= maxUnanswered, h.refused:
+	case now.Sub(h.current.heardAt) > maxMissedHeartbeats*r.heartbeatInterval, h.unansweredCount >= maxUnanswered, h.refused, r.monitor.FailsAll():
 		return packet.HostUnresponsive
 	}
 	return packet.HostReady
--- a/internal/segment/relay/load.go
+++ b/internal/segment/relay/load.go
@@ -44,6 +44,7 @@
 func (r *Relay) recordRequest(now time.Time, f *flowEntry) {
 	if !f.busy {
 		r.load.advance(now, r.host.slots())
+		r.observeBegin(now, f)
 		f.busy, f.hadRequest = true, true
 		r.load.outstandingRequests++
 	}
@@ -59,6 +60,9 @@
 	r.endRequest(now, f)
 	latency := min(now.Sub(f.requestedAt), maxLatency)
 	r.observeLatency(latency)
+	if r.observeAnswer(now, f, latency) {
+		return
+	}
 	if r.load.latency == 0 {
 		r.load.latency = latency
 		return
@@ -80,7 +84,7 @@
 	r.load.advance(now, r.host.slots())
 	l = packet.Load{
 		Slots: r.host.slots(), OutstandingRequests: r.load.outstandingRequests, OpenFlows: len(r.flows),
-		Latency: r.load.latency, Utilisation: r.load.utilisation,
+		Latency: r.load.latency, Utilisation: r.load.utilisation, Health: r.health(now),
 	}
 	if r.isColdLimited(now) {
 		l.Cold, l.ColdRoom = true, r.coldLimiter.Room(now)
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"agateramp/internal/core/flow"
 	"agateramp/internal/segment/coldstart"
+	"agateramp/internal/segment/hosthealth"
 	"agateramp/internal/segment/packet"
 )
 
@@ -50,6 +51,9 @@
 	MaxFlows int
 	// ColdBounds limit the new flows of the host while it is cold. If nil, they are not limited.
 	ColdBounds *coldstart.Bounds
+	// JudgeHosts adds the outcomes of the last requests to the load, by which balancers take failing hosts out. If not set,
+	// the load has none.
+	JudgeHosts bool
 	// ObserveLatency is called with the latency of each response of the host. If nil, it is not called.
 	ObserveLatency func(latency time.Duration)
 }
@@ -75,8 +79,12 @@
 	// nextBounceVerificationAt is when a bounce may start a verification again.
 	nextBounceVerificationAt time.Time
 	// recentOffers holds the flows whose first packet was delivered to the host within the last answerTimeout.
-	recentOffers   []flow.Key
-	load           load
+	recentOffers []flow.Key
+	load         load
+	// monitor records how the requests of the host end, and observed holds those that have not ended.
+	monitor        hosthealth.Monitor
+	observed       []observedRequest
+	judgeHosts     bool
 	observeLatency func(latency time.Duration)
 	stopping       bool
 	// evacuated is set while the data centre of the host is evacuated.
@@ -102,7 +110,7 @@
 	r = &Relay{
 		serviceTag: packet.ServiceTag(c.Service), heartbeatInterval: c.HeartbeatInterval, startedAt: c.StartedAt, flowLifetime: c.FlowLifetime,
 		idleTimeout: c.IdleTimeout, maxFlows: c.MaxFlows, observeLatency: c.ObserveLatency, flows: make(map[flow.Key]*flowEntry),
-		host: host{quietSince: c.StartedAt},
+		host: host{quietSince: c.StartedAt}, judgeHosts: c.JudgeHosts,
 	}
 	if c.ColdBounds != nil {
 		r.coldLimiter, err = coldstart.NewLimiter(*c.ColdBounds)
@@ -233,6 +241,9 @@
 		return decisions
 	}
 	f.state, f.expiresAt = stateOpen, now.Add(r.idleTimeout)
+	if s.Flags.Has(packet.RST) {
+		r.observeReset(now, f)
+	}
 	if s.PayloadLength > 0 {
 		r.recordResponse(now, f)
 	}
@@ -262,6 +273,9 @@
 		return []Decision{Drop{Flow: key, Reason: ReasonUnknownFlow}}
 	}
 	wasOpen := f.state == stateOpen
+	if wasOpen {
+		r.observeReset(now, f)
+	}
 	r.endRequest(now, f)
 	if wasOpen {
 		// The host held the flow before, so no other host holds it. It may have restarted.
@@ -319,6 +333,7 @@
 func (r *Relay) Tick(now time.Time) (changed bool) {
 	before := r.State(now)
 	r.pendingOffers(now)
+	r.expireObserved(now)
 	return r.State(now) != before
 }
 
--- a/internal/segment/relay/starts.go
+++ b/internal/segment/relay/starts.go
@@ -113,6 +113,7 @@
 	}
 	h.makeCurrent(s)
 	h.maybeCold = false
+	r.monitor.RecordStart()
 	return VerdictNewHost
 }
 
