dispatch: Lower the share of hosts that fail requests

Balancers judge the hosts of a service by the reports of their agents where the contract health is in the settings. Flows whose requests may not be repeated go to hosts with three quarters of their share at least. An unresponsive host is offered a flow each 300 ms: before, no balancer offered it one until it sent a packet by itself. Agents get the usual latency of their service with Hellos.

--- a/internal/cli/hosted/hosted.go
+++ b/internal/cli/hosted/hosted.go
@@ -259,8 +259,8 @@
 		DataCentre: s.DataCentre, CPUPermille: s.CPUPermille, Address: s.Address, PacketPort: s.PacketAddress.Port(), PeerPort: s.PeerPort, Seeds: s.Seeds, Codec: platform.PacketCodec{},
 		Store: p.store, ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig,
 		MaxFlows: int(s.MemoryBytes / flowMemoryDivisor / bytesPerFlow), StopTimeout: s.StopTimeout * 2 / 3,
-		ColdBounds: s.ColdBounds,
-		Logger:     p.logger, Metrics: p.metrics, Group: p.tasks,
+		ColdBounds: s.ColdBounds, JudgeHosts: s.JudgeHosts,
+		Logger: p.logger, Metrics: p.metrics, Group: p.tasks,
 	}
 	if s.EvacuationBound > 0 {
 		config.OperatorPrefix, config.EvacuationPrefix = platform.OperatorPrefix, platform.EvacuationPrefix
@@ -291,7 +291,7 @@
 	a, err := agent.New(agent.Config{
 		Node: s.Node, DataCentre: s.DataCentre, Address: s.Address, PacketPort: s.PacketAddress.Port(), PeerPort: s.PeerPort,
 		HostListenAddress: s.HostPacketAddress, HostAddress: s.HostAddress, Service: s.Service, HeartbeatInterval: s.HeartbeatInterval,
-		FlowLifetime: s.MaxFlowLifetime, ColdBounds: s.ColdBounds, Seeds: s.Seeds, Codec: platform.PacketCodec{}, Store: p.store,
+		FlowLifetime: s.MaxFlowLifetime, ColdBounds: s.ColdBounds, JudgeHosts: s.JudgeHosts, Seeds: s.Seeds, Codec: platform.PacketCodec{}, Store: p.store,
 		Logger: p.logger, Metrics: p.metrics, Group: p.tasks,
 	})
 	if err == nil {
--- a/internal/segment/balancer/balancer.go
+++ b/internal/segment/balancer/balancer.go
@@ -66,6 +66,9 @@
 	// ColdBounds are how far the new flows of a cold host may exceed the figure of the configuration. If nil, they are not
 	// limited, and agents get no figure.
 	ColdBounds *coldstart.Bounds
+	// JudgeHosts lowers the share of new flows of hosts that fail more of their requests than the others of their service.
+	// If not set, every host has its whole share.
+	JudgeHosts bool
 	// MaxFlows limits the number of flows in the flow table. If zero, the default of package dispatch applies.
 	MaxFlows int
 	// StopTimeout is the most time that Stop takes. If zero, it is 4 s.
@@ -149,7 +152,7 @@
 	if err = c.validate(); err != nil {
 		return nil, err
 	}
-	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre, ColdBounds: c.ColdBounds})
+	core, err := dispatch.New(dispatch.Config{MaxFlows: c.MaxFlows, DataCentre: c.DataCentre, ColdBounds: c.ColdBounds, JudgeHosts: c.JudgeHosts})
 	if err != nil {
 		return nil, err
 	}
@@ -299,6 +302,7 @@
 	b.core.SetBalancerCount(1 + len(b.peers.Addresses()))
 	b.core.SetAgentListComplete(b.agentsComplete(now))
 	b.updateEvacuated(now, "restore grace")
+	b.logShares()
 	m := b.config.Metrics
 	m.Gauge("evacuations.data_centres").Update(int64(len(b.evacuated)))
 	m.Gauge("evacuations.revision").Update(b.evacuations.State().Revision().Number)
@@ -312,6 +316,16 @@
 	b.logReadiness(now, b.isReady(now))
 }
 
+// logShares logs which hosts get another share of the new flows than before because of their health. b.mu must be held.
+func (b *Balancer) logShares() {
+	changes, lowered := b.core.ShareChanges()
+	b.config.Metrics.Gauge("hosts.lowered").Update(int64(lowered))
+	for _, c := range changes {
+		logging.Line(level.Info(b.config.Logger), "event", "host_share_changed", "agent", c.Agent, "share", c.Share, "previous", c.Previous,
+			"requests", c.Report.Requests, "failures", c.Report.Failures)
+	}
+}
+
 // boolGauge returns the value of a gauge for a condition: 1 if it holds, and 0 if not.
 func boolGauge(condition bool) int64 {
 	if condition {
--- a/internal/segment/balancer/peers.go
+++ b/internal/segment/balancer/peers.go
@@ -212,7 +212,8 @@
 	_, storeReachable := b.storeAge(time.Now())
 	h = message.Hello{
 		ConfigVersion: b.core.Routes().Version(), Evacuations: b.evacuations.State(),
-		Unlisted: storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(agent),
+		Unlisted:     storeReachable && b.list.revision.Number > 0 && !b.core.IsListed(agent),
+		UsualLatency: b.core.UsualLatency(time.Now(), agent),
 	}
 	if service, known := b.core.Service(agent); known && b.config.ColdBounds != nil && b.core.Routes() != nil {
 		h.ColdRate, h.ColdRateKnown = b.core.Routes().ColdRate(service), true
--- a/internal/segment/dispatch/agents.go
+++ b/internal/segment/dispatch/agents.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"agateramp/internal/segment/hosthealth"
 	"agateramp/internal/segment/packet"
 )
 
@@ -74,6 +75,12 @@
 	// offersSinceReport counts the offers since the last load report, and
 	// unansweredOffers the consecutive offers without an answer.
 	offersSinceReport, unansweredOffers int
+	// standing is the health of the host, and reportedLoss the part of its share that the
+	// last result of ShareChanges has taken. An unresponsive host is offered a flow at
+	// nextTrialAt.
+	standing     hosthealth.Standing
+	reportedLoss float64
+	nextTrialAt  time.Time
 	// evacuated is set while status.DataCentre is evacuated.
 	evacuated bool
 	// Until fullUntil the host is assumed to have no room for any flow, and until
--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -74,6 +74,10 @@
 	// ColdBounds are how far the new flows of a cold host may exceed the figure of the
 	// configuration. If nil, no flow is reset because all hosts are cold.
 	ColdBounds *coldstart.Bounds
+	// JudgeHosts lowers the share of new flows of hosts that fail more of their requests
+	// than the others of their service. If not set, the reports of agents on failures are
+	// ignored.
+	JudgeHosts bool
 }
 
 // Dispatcher decides on the packets of one balancer. It is not safe for concurrent
@@ -111,6 +115,8 @@
 	// the hosts; 0 stands for one.
 	coldBounds    *coldstart.Bounds
 	balancerCount int
+	// judgeHosts is as in Config.
+	judgeHosts bool
 }
 
 // New returns a dispatcher without routes and agents. It fails if c.MaxFlows is
@@ -125,7 +131,7 @@
 	return &Dispatcher{
 		dataCentre: c.DataCentre, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32]*service), flows: newFlowTable(c.MaxFlows),
-		coldBounds: c.ColdBounds,
+		coldBounds: c.ColdBounds, judgeHosts: c.JudgeHosts,
 	}, nil
 }
 
--- /dev/null
+++ b/internal/segment/dispatch/health.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"math"
+	"math/bits"
+	"net/netip"
+	"slices"
+	"time"
+
+	"agateramp/internal/core/flow"
+	"agateramp/internal/segment/hosthealth"
+	"agateramp/internal/segment/packet"
+)
+
+const (
+	// trialInterval is how often an unresponsive host is offered a flow by all balancers
+	// together, to see whether it answers again. Its agent accepts no more.
+	trialInterval = 300 * time.Millisecond
+	// trialPatience is how long a trial waits for a flow whose requests may be repeated.
+	trialPatience = time.Second
+	// minUnsafeShare is the share from which a host gets flows whose requests may not be
+	// repeated.
+	minUnsafeShare = 0.75
+	// usualInterval is how often the usual latency of a service is updated, and
+	// usualDoubling the time in which it may double. It falls at once, so that it stays
+	// near the latency without queues while the hosts are overloaded.
+	usualInterval = 500 * time.Millisecond
+	usualDoubling = 20 * time.Second
+)
+
+// health is the judgement of the hosts of a service.
+type health struct {
+	bench hosthealth.Bench
+	// usual is the usual latency of the hosts at usualAt, or 0 if it is not known.
+	usual   time.Duration
+	usualAt time.Time
+}
+
+// UsualLatency returns the usual latency at the hosts of an agent's service, or 0 if it
+// is not known or hosts are not judged.
+func (d *Dispatcher) UsualLatency(now time.Time, agent netip.Addr) time.Duration {
+	a := d.agents[agent]
+	if a == nil || !a.statusKnown || !d.judgeHosts {
+		return 0
+	}
+	return d.services[a.serviceTag].usualLatency(now)
+}
+
+func (s *service) usualLatency(now time.Time) time.Duration {
+	h := &s.health
+	elapsed := now.Sub(h.usualAt)
+	if elapsed < usualInterval {
+		return h.usual
+	}
+	h.usualAt = now
+	var measured []time.Duration
+	for _, a := range s.agents {
+		latency := a.status.Load.Latency
+		if a.status.Load.BaseLatency > 0 {
+			latency = a.status.Load.BaseLatency
+		}
+		if latency > 0 {
+			measured = append(measured, latency)
+		}
+	}
+	if len(measured) == 0 {
+		return h.usual
+	}
+	slices.Sort(measured)
+	median := measured[len(measured)/2]
+	limit := time.Duration(float64(h.usual) * math.Exp2(min(elapsed.Seconds()/usualDoubling.Seconds(), 1)))
+	if h.usual == 0 || median < limit {
+		limit = median
+	}
+	h.usual = limit
+	return h.usual
+}
+
+// judge updates the shares of the hosts of a service that accept flows.
+func (d *Dispatcher) judge(now time.Time, tag uint32) {
+	s := d.services[tag]
+	if !d.judgeHosts || s == nil || !s.health.bench.IsDue(now) {
+		return
+	}
+	standings := make([]*hosthealth.Standing, 0, len(s.agents))
+	for _, a := range s.agents {
+		if d.eligible(now, a) {
+			a.standing.Report, a.standing.DataCentre = a.status.Load.Health, a.status.DataCentre
+			standings = append(standings, &a.standing)
+		}
+	}
+	s.health.bench.Judge(now, standings)
+}
+
+// mayRepeat reports whether the requests of a flow may be repeated after a failure.
+func (d *Dispatcher) mayRepeat(e *flowEntry) bool {
+	route := d.routes.Route(e.key.Destination())
+	return route != nil && route.Repeatable
+}
+
+// getsFlow reports whether a flow is among the share that the host gets by its health.
+func (a *agent) getsFlow(key flow.Key, repeatable bool) bool {
+	share := a.standing.Share()
+	if share == 1 {
+		return true
+	}
+	if !repeatable && share < minUnsafeShare {
+		return false
+	}
+	// The hash is another one than that of the ranking. The square makes up for the choice between two hosts, which prefers
+	// a host that gets few flows.
+	return exponentialHash(bits.RotateLeft64(key.Hash(), 32), a.addressHash) < -math.Log1p(-share*share)
+}
+
+// trial returns an unresponsive host for which a trial is due, or nil.
+func (d *Dispatcher) trial(now time.Time, e *flowEntry, repeatable bool) *agent {
+	for _, a := range d.serviceAgents(e.serviceTag) {
+		if a.status.State != packet.HostUnresponsive || a.status.Stopping || a.evacuated || d.silent(now, a) || e.wasTried(a) {
+			continue
+		}
+		interval := trialInterval * time.Duration(max(d.balancerCount, 1))
+		late := now.Sub(a.nextTrialAt)
+		switch {
+		case late > interval+trialPatience:
+			// The host was not tried lately. Balancers begin at different times.
+			a.nextTrialAt = now.Add(time.Duration(e.key.Hash() % uint64(interval)))
+		case late >= trialPatience || late >= 0 && repeatable:
+			a.nextTrialAt = now.Add(interval)
+			return a
+		}
+	}
+	return nil
+}
+
+// ShareChange is a change of the share of flows that a host gets by its health.
+type ShareChange struct {
+	Agent           netip.Addr
+	Share, Previous float64
+	Report          hosthealth.Report
+}
+
+// ShareChanges returns the changes of shares since the last call, and the number of hosts
+// that get less than their whole share.
+func (d *Dispatcher) ShareChanges() (changes []ShareChange, lowered int) {
+	for _, a := range d.agentList {
+		share := a.standing.Share()
+		if share < 1 {
+			lowered++
+		}
+		if share != a.reportedShare() {
+			changes = append(changes, ShareChange{Agent: a.address, Share: share, Previous: a.reportedShare(), Report: a.standing.Report})
+			a.reportedLoss = 1 - share
+		}
+	}
+	return changes, lowered
+}
+
+func (a *agent) reportedShare() float64 { return 1 - a.reportedLoss }
--- a/internal/segment/dispatch/place.go
+++ b/internal/segment/dispatch/place.go
@@ -34,6 +34,7 @@
 	// median is the result of medianLatency at medianAt, or 0 before the first call.
 	median   time.Duration
 	medianAt time.Time
+	health   health
 }
 
 // medianLatency returns the median of the agents' measured latencies, or
@@ -144,8 +145,13 @@
 // choice between two random hosts bounds the share of flows that a host gets while its
 // load report is out of date.
 func (d *Dispatcher) place(now time.Time, e *flowEntry) *agent {
+	repeatable := d.mayRepeat(e)
+	d.judge(now, e.serviceTag)
+	if a := d.trial(now, e, repeatable); a != nil {
+		return a
+	}
 	available := func(a *agent) bool {
-		return d.eligible(now, a) && !e.wasTried(a) && !a.isFull(now, e.late) && a.hasColdRoom(now)
+		return d.eligible(now, a) && !e.wasTried(a) && !a.isFull(now, e.late) && a.hasColdRoom(now) && a.getsFlow(e.key, repeatable)
 	}
 	r := d.rank(now, e.key, e.serviceTag, func(a *agent) bool { return available(a) && !d.joining(now, a) })
 	if r.first == nil {
--- a/internal/segment/routes/routes.go
+++ b/internal/segment/routes/routes.go
@@ -34,6 +34,8 @@
 	LatencyObjective time.Duration
 	// Timeout is the time after which callers give a request up. If zero, it is not known.
 	Timeout time.Duration
+	// Repeatable is set if the requests of the route may be repeated after a failure.
+	Repeatable bool
 	// Priority orders the flows that wait while all hosts are full; 0 is the highest.
 	Priority int
 }
