hosthealth: Find quick answers against latency without queues

The usual latency of a service came from the moving average with queues. After a loss of power, when all processes begin anew under overload, the answers of lightly loaded hosts counted as quick: healthy hosts had 3 failures of 24. Agents now report the latency of requests that found a free slot.

--- a/internal/segment/dispatch/health.go
+++ b/internal/segment/dispatch/health.go
@@ -21,17 +21,16 @@
 	// minUnsafeShare is the share from which a host gets flows whose requests may not be
 	// repeated.
 	minUnsafeShare = 0.75
-	// usualInterval is how often the usual latency of a service is updated, and
-	// usualDoubling the time in which it may double. It falls at once, so that it stays
-	// near the latency without queues while the hosts are overloaded.
+	// shareSteps is the number of steps of a share that are reported.
+	shareSteps = 4
+	// usualInterval is how often the usual latency of a service is updated.
 	usualInterval = 500 * time.Millisecond
-	usualDoubling = 20 * time.Second
 )
 
 // health is the judgement of the hosts of a service.
 type health struct {
 	bench hosthealth.Bench
-	// usual is the usual latency of the hosts at usualAt, or 0 if it is not known.
+	// usual is the result of usualLatency at usualAt.
 	usual   time.Duration
 	usualAt time.Time
 }
@@ -46,33 +45,24 @@
 	return d.services[a.serviceTag].usualLatency(now)
 }
 
+// usualLatency returns the median latency of the hosts without queueing, or 0 if none is
+// known. The result may be up to usualInterval old.
 func (s *service) usualLatency(now time.Time) time.Duration {
 	h := &s.health
-	elapsed := now.Sub(h.usualAt)
-	if elapsed < usualInterval {
+	if now.Sub(h.usualAt) < usualInterval {
 		return h.usual
 	}
 	h.usualAt = now
 	var measured []time.Duration
 	for _, a := range s.agents {
-		latency := a.status.Load.Latency
-		if a.status.Load.BaseLatency > 0 {
-			latency = a.status.Load.BaseLatency
-		}
-		if latency > 0 {
+		if latency := a.status.Load.Health.Latency; latency > 0 {
 			measured = append(measured, latency)
 		}
 	}
-	if len(measured) == 0 {
-		return h.usual
-	}
-	slices.Sort(measured)
-	median := measured[len(measured)/2]
-	limit := time.Duration(float64(h.usual) * math.Exp2(min(elapsed.Seconds()/usualDoubling.Seconds(), 1)))
-	if h.usual == 0 || median < limit {
-		limit = median
+	if len(measured) > 0 {
+		slices.Sort(measured)
+		h.usual = measured[len(measured)/2]
 	}
-	h.usual = limit
 	return h.usual
 }
 
@@ -132,7 +122,8 @@
 	return nil
 }
 
-// ShareChange is a change of the share of flows that a host gets by its health.
+// ShareChange is a change of the share of flows that a host gets by its health, in whole
+// steps.
 type ShareChange struct {
 	Agent           netip.Addr
 	Share, Previous float64
@@ -143,16 +134,14 @@
 // that get less than their whole share.
 func (d *Dispatcher) ShareChanges() (changes []ShareChange, lowered int) {
 	for _, a := range d.agentList {
-		share := a.standing.Share()
-		if share < 1 {
+		if a.standing.Share() < 1 {
 			lowered++
 		}
-		if share != a.reportedShare() {
-			changes = append(changes, ShareChange{Agent: a.address, Share: share, Previous: a.reportedShare(), Report: a.standing.Report})
+		share := math.Round(a.standing.Share()*shareSteps) / shareSteps
+		if previous := 1 - a.reportedLoss; share != previous {
+			changes = append(changes, ShareChange{Agent: a.address, Share: share, Previous: previous, Report: a.standing.Report})
 			a.reportedLoss = 1 - share
 		}
 	}
 	return changes, lowered
 }
-
-func (a *agent) reportedShare() float64 { return 1 - a.reportedLoss }
--- a/internal/segment/hosthealth/monitor.go
+++ b/internal/segment/hosthealth/monitor.go
@@ -20,13 +20,20 @@
 	// within which the caller repeats a lost packet for the first time and gets its answer.
 	overdueFactor = 10
 	minOverdue    = 400 * time.Millisecond
+	// latencyWeight is the weight of a new measurement in the moving average of the latency.
+	latencyWeight = 0.1
 	// maxFailuresInARow is how many requests in a row may fail before the host counts as failing altogether.
 	maxFailuresInARow = 3
 )
 
 // Report is the number of requests whose outcome is known lately, and how many of them failed. The zero value means that
 // nothing is known.
-type Report struct{ Requests, Failures int }
+type Report struct {
+	Requests, Failures int
+	// Latency is the mean latency of answers that were not quick, to requests that the host had not to queue. It is 0 if
+	// there was none.
+	Latency time.Duration
+}
 
 // Monitor records the outcomes of the requests of one host. The zero value has recorded nothing. It is not safe for
 // concurrent use.
@@ -36,6 +43,8 @@
 	next, count int
 	// usual is the usual latency at the hosts of the service, or 0 if it is not known.
 	usual time.Duration
+	// latency is as in Report.
+	latency time.Duration
 	// failuresInARow counts the failed requests since the last answer.
 	failuresInARow int
 }
@@ -69,6 +78,13 @@
 		return
 	}
 	m.add(now, quick)
+	switch {
+	case quick || crowded:
+	case m.latency == 0:
+		m.latency = latency
+	default:
+		m.latency += time.Duration(latencyWeight * float64(latency-m.latency))
+	}
 }
 
 // RecordLateAnswer records the answer to a request that has counted as failed.
@@ -95,6 +111,7 @@
 
 // Report returns the outcomes of the last requests.
 func (m *Monitor) Report(now time.Time) (r Report) {
+	r.Latency = m.latency
 	for i := range m.count {
 		o := &m.outcomes[i]
 		if now.Sub(o.at) > maxAge {
--- a/internal/segment/message/message.go
+++ b/internal/segment/message/message.go
@@ -267,7 +267,7 @@
 		Slots: uint32(l.Slots), Busy: uint32(l.OutstandingRequests), Flows: uint32(l.OpenFlows),
 		LatencyUs: uint32(l.Latency.Microseconds()), UtilisationPermille: uint32(l.Utilisation * 1000),
 		Limit: uint32(l.Limit), Held: uint32(l.HeldRequests), BaseLatencyUs: uint32(l.BaseLatency.Microseconds()), RatePermille: uint32(math.Round(l.Rate * 1000)),
-		Requests: uint32(l.Health.Requests), Failures: uint32(l.Health.Failures),
+		Requests: uint32(l.Health.Requests), Failures: uint32(l.Health.Failures), UnqueuedLatencyUs: uint32(l.Health.Latency.Microseconds()),
 	}
 	if l.Cold {
 		pb.ColdRoom = uint32(l.ColdRoom) + 1
@@ -282,7 +282,9 @@
 		Utilisation: float64(pb.GetUtilisationPermille()) / 1000,
 		Limit:       int(pb.GetLimit()), HeldRequests: int(pb.GetHeld()),
 		BaseLatency: time.Duration(pb.GetBaseLatencyUs()) * time.Microsecond, Rate: float64(pb.GetRatePermille()) / 1000,
-		Health: hosthealth.Report{Requests: int(pb.GetRequests()), Failures: int(pb.GetFailures())},
+		Health: hosthealth.Report{
+			Requests: int(pb.GetRequests()), Failures: int(pb.GetFailures()), Latency: time.Duration(pb.GetUnqueuedLatencyUs()) * time.Microsecond,
+		},
 	}
 	if room := pb.GetColdRoom(); room > 0 {
 		l.Cold, l.ColdRoom = true, int(room-1)
