--- a/internal/segment/relay/flow.go
+++ b/internal/segment/relay/flow.go
@@ -75,6 +75,8 @@
 	// caller last sent new data.
 	busy, hadRequest bool
 	requestedAt      time.Time
+	// class is the class of the flow's requests.
+	class uint64
 	// begunAt is when the outstanding request began. crowded is set if the host had more to do then than it processes at
 	// once, and overdue once the request has counted as failed because the host did not answer it.
 	begunAt          time.Time
--- a/internal/segment/relay/health.go
+++ b/internal/segment/relay/health.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"encoding/binary"
 	"time"
 
+	"agateramp/internal/core/flow"
 	"agateramp/internal/segment/hosthealth"
 )
 
@@ -16,6 +18,12 @@
 // SetUsualLatency sets the usual latency at the hosts of the service.
 func (r *Relay) SetUsualLatency(usual time.Duration) { r.monitor.SetUsualLatency(usual) }
 
+// classOf returns the class of the requests of a flow: its destination stands for a route.
+func classOf(key flow.Key) uint64 {
+	address := key.Destination().Addr().As16()
+	return uint64(binary.BigEndian.Uint32(address[12:]))<<16 | uint64(key.Destination().Port())
+}
+
 // observeBegin records that the host is given a request on a flow without one.
 func (r *Relay) observeBegin(now time.Time, f *flowEntry) {
 	r.expireObserved(now)
@@ -49,8 +57,7 @@
 		r.monitor.RecordLateAnswer()
 		return false
 	}
-	r.monitor.RecordAnswer(now, latency, f.crowded)
-	return r.monitor.IsQuick(latency)
+	return r.monitor.RecordAnswer(now, latency, f.class, f.crowded)
 }
 
 // observeReset records that the host has reset a flow or lost it, which is a failure if a request was in progress.
--- a/internal/segment/relay/health_test.go
+++ b/internal/segment/relay/health_test.go
@@ -9,12 +9,16 @@
 	"agateramp/internal/segment/packet"
 )
 
-// newHealthFixture returns a fixture whose relay reports outcomes, with count open flows of the ports from 1 on.
+// newHealthFixture returns a fixture whose relay reports outcomes, with count open flows of the ports from 1 on,
+// after requests that took 20 ms each, a minute before.
 func newHealthFixture(t *testing.T, count uint16) *fixture {
 	t.Helper()
 	f := newFixture(t, false)
 	f.judgeHosts = true
 	f.SetUsualLatency(20 * time.Millisecond)
+	for range 10 {
+		f.monitor.RecordAnswer(f.now.Add(-time.Minute), 20*time.Millisecond, classOf(hostSegment(0, 0, 0).KeyFromHost()), false)
+	}
 	for port := uint16(1); port <= count; port++ {
 		f.receiveFromBalancer(fromPort(port, callerSegment(packet.SYN, 100, 0, 0)))
 		f.HandleFromHost(f.now, toPort(port, hostSegment(packet.SYN|packet.ACK, 5000, 0)))
--- a/internal/segment/relay/relay.go
+++ b/internal/segment/relay/relay.go
@@ -307,7 +307,7 @@
 	if len(r.flows) >= r.maxFlows {
 		r.Expire(now)
 	}
-	f.expiresAt = now.Add(r.idleTimeout)
+	f.expiresAt, f.class = now.Add(r.idleTimeout), classOf(key)
 	r.flows[key] = f
 }
 
