dispatch: Look for unresponsive hosts once for each judgement

Every first packet looked through the hosts of its service for one that is due for a trial, and each agent computed its whole load 20 times a second to see whether requests had failed. Both look at what was found before now.

--- a/internal/segment/agent/peers.go
+++ b/internal/segment/agent/peers.go
@@ -175,7 +175,7 @@
 // announceFailures sends the status to the balancers if the host fails more requests than they were sent. a.mu must be
 // held.
 func (a *Agent) announceFailures(now time.Time) {
-	failures := a.core.Load(now).Health.Failures
+	failures := a.core.Health(now).Failures
 	if failures >= a.announcedFailures+failuresPerAnnouncement {
 		a.sendStatusToBalancers(now)
 		a.announcedFailures = failures
--- a/internal/segment/dispatch/health.go
+++ b/internal/segment/dispatch/health.go
@@ -33,6 +33,8 @@
 	// usual is the result of usualLatency at usualAt.
 	usual   time.Duration
 	usualAt time.Time
+	// anyUnresponsive is set if a host was unresponsive when the hosts were last judged.
+	anyUnresponsive bool
 }
 
 // UsualLatency returns the usual latency at the hosts of an agent's service, or 0 if it
@@ -66,15 +68,18 @@
 	return h.usual
 }
 
-// judge updates the shares of the hosts of a service that accept flows.
+// judge updates the shares of the hosts of a service that accept flows, and whether it
+// has unresponsive ones. It does nothing if that was done just before.
 func (d *Dispatcher) judge(now time.Time, tag uint32) {
 	s := d.services[tag]
-	if !d.judgeHosts || s == nil || !s.health.bench.IsDue(now) {
+	if s == nil || !s.health.bench.IsDue(now) {
 		return
 	}
-	standings := make([]*hosthealth.Standing, 0, len(s.agents))
+	var standings []*hosthealth.Standing
+	s.health.anyUnresponsive = false
 	for _, a := range s.agents {
-		if d.eligible(now, a) {
+		s.health.anyUnresponsive = s.health.anyUnresponsive || a.status.State == packet.HostUnresponsive
+		if d.judgeHosts && d.eligible(now, a) {
 			a.standing.Report, a.standing.DataCentre = a.status.Load.Health, a.status.DataCentre
 			standings = append(standings, &a.standing)
 		}
@@ -104,7 +109,11 @@
 
 // trial returns an unresponsive host for which a trial is due, or nil.
 func (d *Dispatcher) trial(now time.Time, e *flowEntry, repeatable bool) *agent {
-	for _, a := range d.serviceAgents(e.serviceTag) {
+	s := d.services[e.serviceTag]
+	if s == nil || !s.health.anyUnresponsive {
+		return nil
+	}
+	for _, a := range s.agents {
 		if a.status.State != packet.HostUnresponsive || a.status.Stopping || a.evacuated || d.silent(now, a) || e.wasTried(a) {
 			continue
 		}
--- a/internal/segment/relay/health.go
+++ b/internal/segment/relay/health.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// health returns the outcomes of the last requests for balancers, or the zero value if they are not to judge hosts.
-func (r *Relay) health(now time.Time) (h hosthealth.Report) {
+// Health returns the outcomes of the last requests for balancers, or the zero value if they are not to judge hosts.
+func (r *Relay) Health(now time.Time) (h hosthealth.Report) {
 	if r.judgeHosts {
 		h = r.monitor.Report(now)
 	}
--- a/internal/segment/relay/load.go
+++ b/internal/segment/relay/load.go
@@ -84,7 +84,7 @@
 	r.load.advance(now, r.host.slots())
 	l = packet.Load{
 		Slots: r.host.slots(), OutstandingRequests: r.load.outstandingRequests, OpenFlows: len(r.flows),
-		Latency: r.load.latency, Utilisation: r.load.utilisation, Health: r.health(now),
+		Latency: r.load.latency, Utilisation: r.load.utilisation, Health: r.Health(now),
 	}
 	if r.isColdLimited(now) {
 		l.Cold, l.ColdRoom = true, r.coldLimiter.Room(now)
