--- a/internal/segment/hosthealth/judge.go
+++ b/internal/segment/hosthealth/judge.go
@@ -34,8 +34,8 @@
 	// Report is the last report of the host, and DataCentre its data centre.
 	Report     Report
 	DataCentre string
-	// removed is the part of its flows that the host does not get.
-	removed float64
+	// removed is the part of its flows that the host does not get, and removedBefore that of the judgement before.
+	removed, removedBefore float64
 }
 
 // Share returns the part of its usual new flows that the host should get, from 0 to 1.
@@ -92,7 +92,7 @@
 // update moves the share of a host towards its target: down at once, up by degrees.
 func (s *Standing) update(elapsed time.Duration, target float64) {
 	grown := max(s.Share(), firstShare) * math.Exp2(float64(elapsed)/float64(doublingTime))
-	s.removed = 1 - min(target, grown)
+	s.removed, s.removedBefore = 1-min(target, grown), s.removed
 }
 
 // limitRemoved gives hosts a part of their flows back where too much of the service or of a data centre is taken out. Those
@@ -102,7 +102,7 @@
 	if len(worst) == 0 {
 		return
 	}
-	slices.SortStableFunc(worst, func(a, b *Standing) int { return cmp.Compare(b.removed, a.removed) })
+	slices.SortStableFunc(worst, func(a, b *Standing) int { return cmp.Compare(b.rank(), a.rank()) })
 	total := allowance(len(hosts), maxRemoved)
 	local := make(map[string]float64)
 	for _, s := range hosts {
@@ -121,5 +121,8 @@
 	}
 }
 
+// rank orders hosts of which not all may be taken out. Of two that are about as bad, the one that is out stays out.
+func (s *Standing) rank() float64 { return s.removed + s.removedBefore/2 }
+
 // allowance returns how many of a number of hosts may be taken out.
 func allowance(hosts int, part float64) float64 { return max(math.Floor(float64(hosts)*part), 1) }
--- a/internal/segment/hosthealth/monitor.go
+++ b/internal/segment/hosthealth/monitor.go
@@ -20,9 +20,9 @@
 	maxOutcomes = 24
 	maxAge      = 3 * time.Second
 	// quickFactor is the factor by which an answer has to be faster than usual to count as quick: hosts answer with errors
-	// before they do the work. Of requests whose logarithms vary by 0.5, one in 160 is as fast. A host whose own latency is
+	// before they do the work. Of requests whose logarithms vary by 0.5, one in 70 is as fast. A host whose own latency is
 	// lower counts as up to maxSpeed times as fast as usual, because hosts of a service differ in speed.
-	quickFactor = 3.5
+	quickFactor = 3
 	maxSpeed    = 2
 	// overdueFactor is the factor by which a request has to take longer than usual to count as overdue, at least minOverdue,
 	// within which the caller repeats a lost packet for the first time and gets its answer.
