--- a/internal/segment/dispatch/dispatch.go
+++ b/internal/segment/dispatch/dispatch.go
@@ -85,6 +85,10 @@
 	// agents, searches go on while more agents become known. If zero, the balancer counts as
 	// having run for long.
 	StartedAt time.Time
+	// JudgeHosts lowers the share of new flows of hosts that fail more of their requests
+	// than the others of their service. If not set, the reports of agents on failures are
+	// ignored.
+	JudgeHosts bool
 }
 
 // Dispatcher decides on the packets of one balancer. It is not safe for concurrent
@@ -127,6 +131,8 @@
 	// the hosts; 0 stands for one.
 	coldBounds    *coldstart.Bounds
 	balancerCount int
+	// judgeHosts is as in Config.
+	judgeHosts bool
 }
 
 // New returns a dispatcher without routes and agents. It fails if c.MaxFlows or
@@ -145,7 +151,7 @@
 		dataCentre: c.DataCentre, paths: c.Paths, startedAt: c.StartedAt, removedAddresses: make(map[netip.AddrPort]bool), agents: make(map[netip.Addr]*agent),
 		services: make(map[uint32]*service), flows: newFlowTable(c.MaxFlows),
 		lookups:    lookupRound{perSecond: float64(c.LookupsPerSecond)},
-		coldBounds: c.ColdBounds,
+		coldBounds: c.ColdBounds, judgeHosts: c.JudgeHosts,
 	}, nil
 }
 
